--- a/fennelpoint/__main__.py
+++ b/fennelpoint/__main__.py
@@ -18,7 +18,7 @@
 from fennelpoint.net.counter import Counter
 from fennelpoint.net.discovery import Address, Discovery, Listing, parse_address, parse_list
 from fennelpoint.net.host import Host
-from fennelpoint.net.notice import log
+from fennelpoint.net.notice import in_background, log
 from fennelpoint.net.server import Server
 from fennelpoint.settings import from_json
 
@@ -212,7 +212,9 @@
 
 
 def main() -> int:
-    logging.basicConfig(level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(levelname)s %(message)s")
+    lines = logging.StreamHandler(sys.stderr)
+    lines.setFormatter(logging.Formatter("%(asctime)s %(levelname)s %(message)s"))
+    logging.basicConfig(level=logging.INFO, handlers=[in_background(lines)])
     signal.signal(signal.SIGHUP, signal.SIG_IGN)    # the file is about to be read anyway
     try:
         path = os.environ.get("BALANCER_CONFIG")
