Count own work once for each ingress when choosing a backend

All ingresses read the same load reports, up to a second old, and sent all they had to the backend that had told the least: 10 and 0 attempts out side by side.

--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -391,12 +391,17 @@
         return self._hold(t, now)
 
     def _cost(self, b: Backend, lot: float, t: Try, now: float) -> float:
-        """The work before a new try at this backend, by what is known, over what it can do."""
+        """The work before a new try at this backend, by what is known, over what it can do.
+
+        Own work counts once for each ingress: all read the same reports, which are old by up to a second, and
+        do alike.  Guards against a herd: whoever told the least got everything until its next report.
+        """
         weight, work, held = max(b.entry.weight, 1e-3), self.typical[t.ask.cls], self.usual_held
         held += (b.reported - held) * 0.5 ** ((now - b.reported_at) / REPORT_HALF)
         luck = 1.0 if t.picked else 1.0 + self.blind * (lot * weight - 1.0)
         luck *= NEAR_TIE if b.entry.zone != self.settings.zone else 1.0
-        return luck * self._slow(b, now) * (b.load + work * (1.0 + held)) / weight
+        out = b.load * self.settings.ingresses
+        return luck * self._slow(b, now) * (out + work * (1.0 + held)) / weight
 
     def _slow(self, b: Backend, now: float) -> float:
         return 1.0 + (b.slow - 1.0) * 0.5 ** ((now - b.slow_at) / SLOW_HALF)
--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,33 @@
+"""The choice of a backend by what is known of each."""
+
+from conftest import SAFE, World, make_settings
+
+from fennelpoint import interface as api
+
+
+def reporting_world(**changes) -> World:
+    made = World(make_settings(report_fields=["inflight"], report_via="answers", **changes))
+    made.backends("a", "b")
+    return made
+
+
+def sent_to(actions: list) -> list:
+    return [a.backend for a in actions if isinstance(a, api.Send)]
+
+
+def report(world: World, **told: float) -> None:
+    """Let each backend answer one request, with its word on what it holds."""
+    customer = 100
+    while told:
+        customer += 1
+        (backend,) = sent_to(world.ask(SAFE, customer=customer))
+        values = [told.pop(backend)] if backend in told else []
+        world.give(api.Outcome(world.ids, 0, backend, api.Status.OK, 0.1, True, report=values))
+
+
+def test_backend_that_reported_least_is_not_sent_everything_until_its_next_report():
+    world = reporting_world(ingresses=4)
+    report(world, a=0.0, b=8.0)
+    chosen = [sent_to(world.ask(SAFE, customer=i))[0] for i in range(6)]
+    # The other three read the same: with three of ours it has about twelve, more than the other's eight.
+    assert chosen[0] == "a" and "b" in chosen
