--- a/fennelpoint/net/notice.py
+++ b/fennelpoint/net/notice.py
@@ -44,4 +44,6 @@
     listener = QueueListener(records, handler)
     listener.start()
     atexit.register(listener.stop)
-    return _Waiting(records)
+    waiting = _Waiting(records)
+    waiting.setFormatter(logging.Formatter("%(message)s"))  # the rest is the handler's own
+    return waiting
--- a/tests/test_notice.py
+++ b/tests/test_notice.py
@@ -50,3 +50,21 @@
         assert not written
     finally:
         go_on.set()
+
+
+def test_line_is_laid_out_once():
+    done, written = threading.Event(), []
+
+    class Last(logging.Handler):
+        def emit(self, record: logging.LogRecord) -> None:
+            written.append(self.format(record))
+            done.set()
+
+    last = Last()
+    last.setFormatter(logging.Formatter("%(levelname)s %(message)s"))
+    logger = logging.Logger("x")
+    handler = notice.in_background(last)
+    handler.formatter = handler.formatter or logging.Formatter(logging.BASIC_FORMAT)    # as basicConfig does
+    logger.addHandler(handler)
+    logger.info("%s is ready", "n0")
+    assert done.wait(30) and written == ["INFO n0 is ready"]
