Give an attempt up when its answer must be lost, and send it again

Attempts were waited for until the client stopped waiting, and a time-out barred a further one.

An attempt is now given up after three times what nine in ten answers need, where its class allows another and that one can still meet the aim.

--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -32,6 +32,7 @@
 WINDOW, CROWDED = 1.0, 0.3  # burst spans that its asks are counted over; of the time-out: stood in line
 ASK_GAIN, ASK_EASE, ASK_LOSS, LEAST_ASKING = 0.05, 0.9, 0.6, 0.1  # asking share: quick, crowded, none; least
 FIRST_GUESS, FASTER, SLOWER, LEARN = 0.12, 0.1, 0.03, 0.2  # of the aim: a first latency; an answer's weights
+TAIL, TAIL_STEP, PATIENCE = 0.1, 0.1, 3.0  # of the answers come later; step to that; times it to wait for one
 FAILED, SLOWEST, SLOW_HALF = 4.0, 6.0, 1.0  # a failure looks so much slower, at most; s to fade by half
 REST_MOST, TARGET = 3.0, 0.25  # s, longest rest after failures; of the aim, used behind: the rest to wait in
 FIRST_OUT, WINDOW_CUT, LEAST_OUT = 12.0, 0.85, 0.1  # own attempts out: a backend at first, of all; cut; least
@@ -70,6 +71,7 @@
         self.active: dict[int, Customer] = {}  # those that the period looks at
         self.typical = [FIRST_GUESS * c.aim for c in settings.classes]  # latency of a class, uncrowded
         self.usual = list(self.typical)  # and as it is now
+        self.tail = [c.aim / PATIENCE for c in settings.classes]  # and of the slowest of them
         self.fit, self.work, self.period_at = Fit(), 0.0, now
         self.window, self.pressure, self.cut_at, self.rest_until = 0.0, 0.0, now, now  # own attempts out
         self.retries, self.cut, self.pressed = RETRY_BURST, None, False
@@ -275,9 +277,20 @@
         self.fleet.send(b, t, work, self.settings.classes[t.ask.cls].aim, now)
         self.work += work
         self._activate(c, now)
-        self.out.append(api.Send(t.ask.request, b.entry.backend))
+        self.out.append(api.Send(t.ask.request, b.entry.backend, self._patience(t, b, now)))
         return True
 
+    def _patience(self, t: Try, b: Backend, now: float) -> float:
+        """How long to wait for an answer: one far later than nearly all others won't come.
+
+        Guards the aim against answers that get lost.  Where no other attempt could meet it, or none is
+        allowed, it lasts until the client stops waiting.
+        """
+        wait = PATIENCE * self.tail[t.ask.cls] / self._cold_share(b, now)
+        again = (t.attempts < self.settings.max_attempts and self.settings.may_cancel
+                 and self.settings.classes[t.ask.cls].effect is not api.Effect.UNSAFE)
+        return wait if again and now + wait + LATE_MARGIN * self.usual[t.ask.cls] <= t.aim_at else 0.0
+
     def _hold(self, t: Try, now: float) -> None:
         """Keep it until it may be sent, or until its aim or its client can't be met any more.
 
@@ -344,7 +357,7 @@
             t.reached = t.reached or o.status not in (api.Status.CONNECT_FAILED, api.Status.MOOT)
             t.not_before = now + PAUSE_FULL * t.attempts * (o.status in (api.Status.FULL, api.Status.MOOT))
             again = t.ran_at is not None  # as time, effect and a budget against retry storms allow
-            barred = o.status is api.Status.TIMEOUT or self.retries < 1.0 or not self._allowed(t, now)
+            barred = self.retries < 1.0 or not self._allowed(t, now)
             if t.attempts >= self.settings.max_attempts or now >= t.ends or again and barred:
                 self._refuse(t, now, 0.0)
             else:
@@ -429,6 +442,10 @@
     def _learn(self, b: Backend, o: api.Outcome, t: Try | None, now: float) -> None:
         self.fleet.answer(b, o.request)
         self._report(b, o.report, now) if o.report else None
+        if t is not None and o.status in (api.Status.OK, api.Status.TIMEOUT):
+            # A time-out counts as late: guards against giving up ever sooner on a back end that slows.
+            late = o.status is api.Status.TIMEOUT or o.latency > self.tail[t.ask.cls]
+            self.tail[t.ask.cls] *= 1.0 + TAIL_STEP * (late - TAIL)
         if o.status is api.Status.FULL:
             b.rest_until = now + 2 * PAUSE_FULL
             # Guards against a stop of all for a few that were turned away: no latency tells of a crowd here,
