Leave a counter line that is silent for four time-outs

An answer that never came on the one line held back all calls behind it for a second and more; each failed, the ingresses fell back on even shares, and customers were let in beyond their quotas. A slow counter still answers something, so its line is kept.

--- a/fennelpoint/net/counter.py
+++ b/fennelpoint/net/counter.py
@@ -19,7 +19,7 @@
 
 CALL_TIMEOUT = 0.05     # s, where the settings tell none
 CONNECT_TIMEOUT = 0.25  # s
-SILENT = 1.0            # s without an answer that is due: the connection is dead, though it looks open
+SILENT = 4.0            # time-outs without an answer that is due: the line is dead, though it looks open
 IDLE = 3.0              # s after which it is closed from here, before the counter does
 PAUSE = 0.1             # s between two connects where the last failed
 MOST_LINE, MOST_CALLS = 256, 10_000  # bytes without a line's end; calls on the line
@@ -86,6 +86,7 @@
                 call.end(Status.CONNECT_FAILED)
             else:
                 call.end(Status.TIMEOUT)
+        self._leave_silent(now)
         if self.told and self.timer is None:
             self.timer = self.loop.call_later(max(0.001, self.told[0].at + self.timeout - now), self._late)
 
@@ -148,15 +149,21 @@
     def sweep(self) -> None:
         """Leave a connection that is silent, or idle; the next call opens another."""
         now = time.monotonic()
-        for line in [line for line in self.leaving if now - line.used > max(SILENT, self.timeout)]:
+        for line in [line for line in self.leaving if now - line.used > SILENT * self.timeout]:
             line.close()
-        if (line := self.line) is None:
-            return
-        if line.calls and now - max(line.calls[0].at, line.heard) > SILENT:
+        self._leave_silent(now)
+        if self.line is not None and not self.line.calls and now - self.line.used > IDLE:
+            self.line.close()
+
+    def _leave_silent(self, now: float) -> None:
+        """Guards the calls behind an answer that won't come: each would be lost until the line is left.
+
+        A counter that is slow still answers one call or another, and so is not left.
+        """
+        line, before = self.line, now - SILENT * self.timeout
+        if line is not None and line.calls and max(line.calls[0].at, line.heard) < before:
             complain("counter", "is silent on its connection")
             line.close()
-        elif not line.calls and now - line.used > IDLE:
-            line.close()
 
     def close(self) -> None:
         if self.connecting is not None:
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -6,18 +6,28 @@
 from sockets import Fake, run, until
 
 from fennelpoint.interface import Status
+from fennelpoint.net import counter
 from fennelpoint.net.counter import Counter, amount_text
 
 
+class Clock:
+    """Stands in for the time module."""
+
+    now = 1000.0
+
+    def monotonic(self) -> float:
+        return self.now
+
+
 class Play:
     """A counter client against a scripted service; `replies` gathers what the callers are told."""
 
-    def __init__(self, handle) -> None:
-        self.fake, self.replies = Fake(handle), []
+    def __init__(self, handle, timeout: float = 0.05) -> None:
+        self.fake, self.replies, self.timeout = Fake(handle), [], timeout
 
     async def __aenter__(self):
         host, port = (await self.fake.start()).split(":")
-        self.counter = Counter(asyncio.get_running_loop(), host, int(port), 0.05)
+        self.counter = Counter(asyncio.get_running_loop(), host, int(port), self.timeout)
         return self
 
     async def __aexit__(self, *_):
@@ -63,7 +73,7 @@
             writer.write(b"ok 11\r\nok 22\r\n")
             await reader.read()
 
-        async with Play(handle) as p:
+        async with Play(handle, timeout=0.5) as p:
             p.call(1)
             assert await p.told(1) == [(1, Status.TIMEOUT, 0.0)]
             p.call(2)
@@ -93,6 +103,52 @@
     run(play())
 
 
+def test_line_that_falls_silent_is_left_by_the_clock_of_the_calls(monkeypatch):
+    async def play() -> None:
+        async def handle(reader, writer):
+            while await reader.readline():
+                if p.fake.opened > 1:
+                    writer.write(b"ok 5\r\n")
+
+        clock = Clock()
+        monkeypatch.setattr(counter, "time", clock)
+        async with Play(handle, timeout=0.01) as p:
+            p.call(1)
+            clock.now += 0.011
+            assert await p.told(1) == [(1, Status.TIMEOUT, 0.0)] and p.counter.line is not None
+            clock.now += 0.04
+            p.call(2)   # behind the lost one
+            clock.now += 0.011
+            assert (await p.told(2))[1] == (2, Status.TIMEOUT, 0.0) and p.counter.line is None
+            p.call(3)
+            assert (await p.told(3))[2] == (3, Status.OK, 5.0)
+
+    run(play())
+
+
+def test_line_that_answers_late_but_answers_is_kept(monkeypatch):
+    async def play() -> None:
+        async def handle(reader, writer):
+            await reader.readline()
+            while await reader.readline():  # one call behind, all the time
+                writer.write(b"ok 5\r\n")
+
+        clock = Clock()
+        monkeypatch.setattr(counter, "time", clock)
+        async with Play(handle, timeout=0.01) as p:
+            p.call(0)
+            await until(lambda: p.counter.line)
+            for name in range(1, 9):
+                clock.now += 0.011
+                assert (await p.told(name))[-1] == (name - 1, Status.TIMEOUT, 0.0)
+                line = p.counter.line
+                p.call(name)
+                await until(lambda: line.heard == clock.now)  # noqa: B023
+            assert p.fake.opened == 1 and p.counter.line is line
+
+    run(play())
+
+
 def test_refused_connection_adds_nothing():
     async def play() -> None:
         async def handle(reader, writer):
