--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -36,6 +36,7 @@
 FAILED, SLOWEST, SLOW_HALF = 4.0, 6.0, 1.0  # a failure looks so much slower, at most; s to fade by half
 REST_MOST, TARGET = 3.0, 0.25  # s, longest rest after failures; of the aim, used behind: the rest to wait in
 FIRST_OUT, WINDOW_CUT, LEAST_OUT = 12.0, 0.85, 0.1  # own attempts out: a backend at first, of all; cut; least
+SPARE, KEPT_BACK = 0.25, 0.5  # of the window, and of the ceiling: beyond quotas nothing is sent past these
 NEAR_TIE, CANDIDATES = 1.15, 16  # how much better another zone must be; an own part of a large fleet
 HERD, SEES = 0.2, 4.0   # least random part of a wait; ingresses up to which own work out tells most of it
 PROBES, PROBE_WAIT = 2, 0.05  # backends probed for a try by those who see little, and s that it waits
@@ -263,7 +264,12 @@
             if not inside and (plan.over_worth <= 0.0 or self.pressed):
                 c.short_at = now
                 return False
-        full = now < self.rest_until or self.fleet.out >= max(1.0, self.window if inside else self.window / 2)
+            # Guards the room inside the quota: what is worth little used the ceiling up where attempts out
+            # were at their limit, and the next ones inside had none left.
+            kept = KEPT_BACK * plan.ceiling_burst / c.width
+            if not inside and plan.ceiling_rate and c.ceiling < units + kept:
+                return False
+        full = now < self.rest_until or self.fleet.out >= max(1.0, self.window * (1.0 if inside else SPARE))
         if full or (b := self._choose(t, now)) is None:
             return False
         if not t.charged:
--- /dev/null
+++ b/tests/test_beyond.py
@@ -0,0 +1,32 @@
+"""What is sent beyond a quota must not take the room of what is inside one."""
+
+from conftest import HARD, SAFE, SOFT, World, make_settings
+
+from fennelpoint import interface as api
+
+
+def sends(actions: list) -> list:
+    return [a for a in actions if isinstance(a, api.Send)]
+
+
+def test_soft_customer_beyond_its_quota_leaves_most_of_the_window_to_others(world):
+    """Twelve may be out here; four of a soft customer's are inside its slice."""
+    sent = sum(len(sends(world.ask(SAFE, SOFT, customer=1))) for _ in range(10))
+    assert sent == 4
+    others = sum(len(sends(world.ask(SAFE, HARD, customer=i))) for i in range(2, 10))
+    assert others == 8
+
+
+def test_part_of_a_ceiling_is_kept_for_tries_inside_the_quota():
+    both = api.Plan("both", price=3.0, rate=20.0, burst=20.0, open_limit=2, over_worth=0.2, ceiling_rate=20.0,
+                    ceiling_burst=20.0, ceiling_slack=2.0)
+    world = World(make_settings(plans=[both]))
+    world.backends(*(f"s{i:02}" for i in range(40)))
+    world.ask(SAFE, 0)
+    (first,) = sends(world.wait(0.2))   # a customer that is new has no units under its ceiling yet
+    world.answer(first.request, first.backend)
+    world.now += 2.0                    # now ten, its part of the ceiling
+    out = [s for _ in range(20) for s in sends(world.ask(SAFE, 0))]
+    assert 2 <= len(out) <= 6           # one may be out inside the quota, the rest went beyond it
+    freed = [sends(world.answer(s.request, s.backend)) for s in out]
+    assert freed[-1]                    # with its attempts back under their limit the next goes out at once
