--- a/fennelpoint/__main__.py
+++ b/fennelpoint/__main__.py
@@ -90,7 +90,8 @@
         settings, room = config.settings, config.sockets - RESERVED
         upstream = int(room * UPSTREAM_SHARE)
         self.loop, self.config, self.path, self.stopped = loop, config, path, loop.create_future()
-        self.backends = Backends(loop, upstream, settings.connect_timeout, settings.idle_close)
+        self.backends = Backends(loop, upstream, settings.connect_timeout, settings.idle_close,
+                                 min(c.aim for c in settings.classes))
         self.counter = Counter(loop, *config.counter, settings.counter_timeout) if (
             config.counter is not None and settings.has_counter) else None
         self.host = Host(loop, settings, config.seed, self.backends, self.counter)
--- a/fennelpoint/net/backends.py
+++ b/fennelpoint/net/backends.py
@@ -21,7 +21,7 @@
 
 MOST_ANSWER = 64 * 1024     # bytes of a body
 MOST_RECEIVED = 2 * MOST_ANSWER  # bytes of a whole answer with its head and framing
-STALLED = 0.5               # s without a byte in the middle of an answer: the rest won't come
+STALLED, STALLED_SHARE = 0.5, 0.25  # s with no byte amid an answer: no more will come; of the least aim
 OWN_SHORTAGE = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 CONNECT_TIMEOUT = 0.25      # s, where the settings tell none
 IDLE_SHARE, IDLE_MOST = 0.5, 30.0  # of the settings' idle time: well before the backend closes; s at most
@@ -157,6 +157,7 @@
             self._spoilt("is too large")
         else:
             self.heard = time.monotonic()
+            self.pool.loop.call_later(self.pool.stalled, self.stalled)
 
     # What the parser reads.
 
@@ -214,9 +215,9 @@
         self.close()
         exchange.end(Status.ERROR)
 
-    def stalled(self, now: float) -> None:
+    def stalled(self) -> None:
         """Guards the request's time: a length over what was sent would hold it until its deadline."""
-        if self.exchange is not None and 0.0 < self.heard < now - STALLED:
+        if self.exchange is not None and 0.0 < self.heard <= time.monotonic() - 0.99 * self.pool.stalled:
             self._spoilt("does not come whole")
 
     def eof_received(self) -> None:
@@ -242,8 +243,10 @@
     """The connections to every backend that discovery has named, within one bound."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, most: int, connect_timeout: float,
-                 idle_close: float) -> None:
+                 idle_close: float, aim: float) -> None:
         self.loop, self.most = loop, most
+        # Soon against the aim: guards the time that another attempt needs.
+        self.stalled = min(STALLED, STALLED_SHARE * aim)
         self.connect_timeout = connect_timeout or CONNECT_TIMEOUT
         self.idle_most = min(IDLE_MOST, idle_close * IDLE_SHARE) if idle_close else IDLE_MOST
         self.upstreams: dict[str, Upstream] = {}
@@ -331,9 +334,6 @@
         for upstream in self.upstreams.values():
             while upstream.idle and upstream.idle[0].idle_since < oldest:
                 upstream.idle[0].close()
-        now = time.monotonic()
-        for connection in list(self.all):
-            connection.stalled(now)
 
     def close(self) -> None:
         for task in list(self.connecting):
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -6,6 +6,7 @@
 from sockets import Backend, ask, member, ok, request, run, until, world
 
 from fennelpoint.interface import BackendState, Probe, Status
+from fennelpoint.net import backends
 from fennelpoint.net.backends import Exchange, load_report
 
 # Each request is asked in turn; what the client gets is told by the status.
@@ -203,6 +204,19 @@
     run(play())
 
 
+def test_answer_cut_short_leaves_time_for_another_attempt(monkeypatch):
+    monkeypatch.setattr(backends, "STALLED", 60.0)  # so that only the aim can end it in time
+
+    async def play() -> None:
+        answers = [b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nyes", ok(b"whole")]
+        backend = Backend(lambda *_: answers.pop(0))
+        async with world(backend) as made:
+            line, _, body = await ask(made, request(left=20_000))
+            assert status((line,)) == SERVED and body == b"whole" and len(backend.seen) == 2
+
+    run(play())
+
+
 def test_our_own_lack_of_connections_is_not_the_backends_fault():
     async def play() -> None:
         backend = Backend(lambda *_: None)
