--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -332,11 +332,15 @@
         self.out += self.timers.wake(TOKEN_PUMP, soonest, now)
 
     def _refuse(self, t: Try, now: float, wait: float) -> None:
-        """End a try that has nothing out: refused where that promise is true, else failed."""
+        """End a try that has nothing out: refused where that promise is true, else failed.
+
+        The client is told to come back once its units are there, or a place is: by when an answer comes.
+        """
         cls = self.settings.classes[t.ask.cls]
         harmless = self._allowed(t, now) and (t.ran_at is None or cls.effect is api.Effect.SAFE
                                               or cls.group is api.Group.ALL)
         t.customer.spared += t.ask.units * (not t.charged)
+        wait = max(wait, self.usual[t.ask.cls])
         advice = min(self.settings.max_advice, wait) if self.settings.may_advise else 0.0
         self.out.append(api.Refuse(t.ask.request, advice) if harmless else api.Fail(t.ask.request))
         self.line.end(t.ask.request)
--- a/tests/test_beyond.py
+++ b/tests/test_beyond.py
@@ -1,4 +1,4 @@
-"""What is sent beyond a quota must not take the room of what is inside one."""
+"""What is sent beyond a quota takes no room from what is inside one; a refusal tells when to come back."""
 
 from conftest import HARD, SAFE, SOFT, World, make_settings
 
@@ -30,3 +30,20 @@
     assert 2 <= len(out) <= 6           # one may be out inside the quota, the rest went beyond it
     freed = [sends(world.answer(s.request, s.backend)) for s in out]
     assert freed[-1]                    # with its attempts back under their limit the next goes out at once
+
+
+def test_refusal_for_want_of_room_tells_when_to_come_back():
+    world = World(make_settings())
+    world.backends("a")
+    refused = [a for i in range(30) for a in world.ask(SAFE, HARD, customer=i) if isinstance(a, api.Refuse)]
+    refused += [a for a in world.wait(4.0) if isinstance(a, api.Refuse)]
+    assert refused and all(0.0 < a.retry_after <= world.settings.max_advice for a in refused)
+
+
+def test_refusal_advises_nothing_where_the_settings_forbid_it():
+    world = World(make_settings(may_advise=False))
+    world.backends("a")
+    for i in range(30):
+        world.ask(SAFE, HARD, customer=i)
+    refused = [a for a in world.wait(4.0) if isinstance(a, api.Refuse)]
+    assert refused and all(a.retry_after == 0.0 for a in refused)
