--- a/fennelpoint/__main__.py
+++ b/fennelpoint/__main__.py
@@ -19,6 +19,7 @@
 from fennelpoint.net.discovery import Address, Discovery, Listing, parse_address, parse_list
 from fennelpoint.net.host import Host
 from fennelpoint.net.notice import in_background, log
+from fennelpoint.net.operators import MOST_CALLERS, Operators
 from fennelpoint.net.server import Server
 from fennelpoint.settings import from_json
 
@@ -46,6 +47,7 @@
     sockets: int
     settings: api.Settings
     known: Listing | None
+    mgmt: Address | None = None     # the second address, for operators
 
 
 def read_config(path: str) -> Config:
@@ -66,12 +68,13 @@
         sockets = limits.get("sockets", SOCKETS) if isinstance(limits, dict) else None
         if isinstance(sockets, bool) or not isinstance(sockets, int) or sockets < 2 * RESERVED:
             raise ConfigError(f"configuration: limits.sockets: {sockets!r} is not {2 * RESERVED} or more")
-        known = value.get("known")
+        known, mgmt = value.get("known"), value.get("mgmt", os.environ.get("BALANCER_MGMT"))
         return Config(str(value.get("name", "")), parse_address(value.get("listen"), "listen"),
                       parse_address(value.get("discovery"), "discovery"),
                       parse_address(counter, "counter") if counter is not None else None,
                       read_seed(value.get("seed")), sockets, settings,
-                      parse_list(known, settings, where="known") if known is not None else None)
+                      parse_list(known, settings, where="known") if known is not None else None,
+                      parse_address(mgmt, "mgmt") if mgmt is not None else None)
     except ValueError as error:
         raise ConfigError(f"configuration: {error}") from None
 
@@ -88,6 +91,8 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, config: Config, path: str = "") -> None:
         settings, room = config.settings, config.sockets - RESERVED
+        if config.mgmt is not None:
+            room -= MOST_CALLERS + 1    # whatever the load, an operator can call
         upstream = int(room * UPSTREAM_SHARE)
         self.loop, self.config, self.path, self.stopped = loop, config, path, loop.create_future()
         self.backends = Backends(loop, upstream, settings.connect_timeout, settings.idle_close,
@@ -98,9 +103,12 @@
         self.discovery = Discovery(loop, config.discovery, settings, self.follow)
         self.coming: Discovery | None = None    # a new discovery that has not told its list yet
         self.server = Server(loop, self.host, room - upstream)
+        self.operators = Operators(loop, self) if config.mgmt is not None else None
         self.stopping_since: float | None = None
 
     async def start(self) -> None:
+        if self.operators is not None:
+            await self.operators.listen(self.config.mgmt)
         if (known := self.config.known) is not None:
             known.roster.kind = api.RosterKind.CACHED
             self.discovery.take(known)
@@ -114,6 +122,30 @@
         if roster.kind is api.RosterKind.FULL:
             self._set_ready()
 
+    # What operators may ask for.
+
+    def takes_clients(self) -> bool:
+        return self.server.ready
+
+    def metrics(self) -> bytes:
+        return self.host.render_figures()
+
+    def suspend(self, backend: str) -> bool:
+        return self.host.withdraw(backend)
+
+    def resume(self, backend: str) -> bool:
+        return self.host.restore(backend)
+
+    def drain(self) -> bool:
+        if self.stopping_since is None:
+            self.server.drain()
+        return self.stopping_since is None
+
+    def activate(self) -> bool:
+        if self.stopping_since is None:
+            self.server.activate()
+        return self.stopping_since is None
+
     def reload(self) -> None:
         """SIGHUP: go over to the discovery and the counter that the file names now; the rest stays.
 
@@ -167,7 +199,7 @@
         if self.stopping_since is not None:
             return
         log.info("%s stops", self.config.name)
-        self.stopping_since, self.server.draining = self.loop.time(), True
+        self.stopping_since, self.server.stopping = self.loop.time(), True
         self.loop.call_later(ACCEPT_ON, self._finish)
 
     def _finish(self) -> None:
@@ -191,6 +223,8 @@
         for discovery in (self.discovery, self.coming):
             if discovery is not None:
                 discovery.stop()
+        if self.operators is not None:
+            self.operators.close()
         self.server.close()
         self.backends.close()
         if self.counter is not None:
--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -82,7 +82,9 @@
         self.probes = settings.may_probe and settings.report_via != "none" and self.blind > 0.5
         self.on = {api.Request: self._admit, api.Outcome: self._outcome, api.Roster: self._roster,
                    api.ProbeResult: self._probed, api.TimerDue: self._timer, api.CounterReply: self._counted,
-                   api.ClientGone: lambda event, now: self.line.end(event.request)}
+                   api.ClientGone: lambda event, now: self.line.end(event.request),
+                   api.Withdraw: lambda event, now: self.fleet.withdraw(event.backend),
+                   api.Restore: lambda event, now: self._restore(event.backend, now)}
 
     def start(self, now: float) -> list[api.Action]:
         return [api.Subscribe()] if self.settings.discovery == "ask" else []
@@ -92,6 +94,15 @@
         self.on.get(type(event), lambda event, now: None)(event, now)
         return self.out
 
+    def names(self, backend: object) -> bool:
+        """Whether any list so far has named it."""
+        return backend in self.fleet.named
+
+    def cluster(self, now: float) -> tuple[int, int]:
+        """How many backends the list names, and how many of them get nothing new at present."""
+        listed = self.fleet.listed()
+        return len(listed), sum(not b.usable or now < b.rest_until for b in listed)
+
     def _timer(self, due: api.TimerDue, now: float) -> None:
         if self.timers.due(due.token, now):
             self._period(now) if due.token == TOKEN_PERIOD else self._pump(now)
@@ -382,9 +393,15 @@
         self.fleet.follow(roster, self.random, now)
         self.window = self.window or max(1.0, FIRST_OUT * len(self.fleet.ready) / self.settings.ingresses)
 
+    def _restore(self, backend: object, now: float) -> None:
+        """What waits may go there now, as seldom as its cold share allows."""
+        self.fleet.restore(backend, now)
+        self._pump(now)
+
     def _cold_share(self, b: Backend, now: float) -> float:
         """The least part of its capacity that a backend can do by now; 1 when it is warm."""
-        age = max(0.0, now - b.entry.started_at) if b.entry.started_at > 0.0 else inf
+        started = max(b.entry.started_at, b.restored_at)
+        age = max(0.0, now - started) if started > 0.0 else inf
         grown = min(1.0, age / max(self.settings.ramp_time, self.settings.tick))
         return self.settings.cold_share + (1.0 - self.settings.cold_share) * grown
 
--- a/fennelpoint/interface.py
+++ b/fennelpoint/interface.py
@@ -235,8 +235,22 @@
     latency: float
 
 
+@dataclass(slots=True)
+class Withdraw:
+    """An operator takes a backend out of use, whatever the roster says, until `Restore`."""
+
+    backend: object
+
+
+@dataclass(slots=True)
+class Restore:
+    """An operator puts a backend back; it may have been restarted, so it counts as cold."""
+
+    backend: object
+
+
 Event = (Roster | Request | Outcome | StreamStarted | ClientGone | TimerDue | ProbeResult
-         | PeerMessage | CounterReply)
+         | PeerMessage | CounterReply | Withdraw | Restore)
 
 
 # Actions
--- a/fennelpoint/net/backends.py
+++ b/fennelpoint/net/backends.py
@@ -41,11 +41,13 @@
 class Exchange:
     """One request to one backend, from the wish to send it until its outcome."""
 
-    __slots__ = ("render", "done", "connection", "connecting", "ended")
+    __slots__ = ("render", "done", "sent", "connection", "connecting", "ended")
 
-    def __init__(self, render: Callable[[], bytes], done: Callable[[Status, Answer | None], None]) -> None:
+    def __init__(self, render: Callable[[], bytes], done: Callable[[Status, Answer | None], None],
+                 sent: Callable[[], None] = lambda: None) -> None:
         self.render = render    # the bytes to send, made when they can be written
         self.done = done        # told the outcome, once
+        self.sent = sent        # told that the last byte is written
         self.connection: UpstreamConnection | None = None
         self.connecting: asyncio.Task | None = None
         self.ended = False
@@ -82,10 +84,11 @@
     state: BackendState
     idle: list[UpstreamConnection] = field(default_factory=list)  # the most recently used last
     retired: bool = False   # replaced by a newer start or address: nothing is to be reused
+    withdrawn: bool = False  # taken out by an operator
 
     @property
     def open(self) -> bool:
-        return self.state is BackendState.READY and not self.retired
+        return self.state is BackendState.READY and not (self.retired or self.withdrawn)
 
 
 class UpstreamConnection(asyncio.Protocol):
@@ -123,6 +126,8 @@
         self._reset()
         self.written = True     # unless pause_writing says that some is left
         self.transport.write(exchange.render())
+        if self.written:
+            exchange.sent()
 
     def _reset(self) -> None:
         self.status, self.headers, self.body, self.size = 0, [], [], 0
@@ -138,6 +143,8 @@
 
     def resume_writing(self) -> None:
         self.written = True
+        if self.exchange is not None:
+            self.exchange.sent()
 
     def data_received(self, data: bytes) -> None:
         if self.exchange is None:
@@ -252,6 +259,7 @@
         self.upstreams: dict[str, Upstream] = {}
         self.all: set[UpstreamConnection] = set()
         self.connecting: dict[asyncio.Task, Exchange] = {}
+        self.withdrawn: set[str] = set()    # ids that operators took out
 
     def follow(self, roster: Roster, addresses: dict[str, tuple[str, int]]) -> None:
         """Take in what discovery told: a new start or address gets connections of its own."""
@@ -273,7 +281,20 @@
                 continue
             if old is not None:
                 self._retire(old)
-            self.upstreams[entry.backend] = Upstream(host, port, entry.started_at, entry.state)
+            self.upstreams[entry.backend] = Upstream(host, port, entry.started_at, entry.state,
+                                                     withdrawn=entry.backend in self.withdrawn)
+
+    def withdraw(self, backend: str) -> None:
+        """Nothing more goes there, not even what is about to: its idle connections are closed."""
+        self.withdrawn.add(backend)
+        if (upstream := self.upstreams.get(backend)) is not None:
+            upstream.withdrawn = True
+            self.close_idle(backend)
+
+    def restore(self, backend: str) -> None:
+        self.withdrawn.discard(backend)
+        if (upstream := self.upstreams.get(backend)) is not None:
+            upstream.withdrawn = False
 
     def _retire(self, upstream: Upstream) -> None:
         upstream.retired = True
--- a/fennelpoint/net/host.py
+++ b/fennelpoint/net/host.py
@@ -18,6 +18,7 @@
 from fennelpoint.control import Controller
 from fennelpoint.net.backends import Answer, Backends, Exchange, load_report
 from fennelpoint.net.counter import Counter
+from fennelpoint.net.figures import Figures
 from fennelpoint.net.notice import complain, log
 
 EARLY = 0.0005  # s by which a timer may ring ahead of its time
@@ -83,6 +84,7 @@
                  backends: Backends, counter: Counter | None) -> None:
         self.loop, self.settings, self.backends, self.counter = loop, settings, backends, counter
         self.clock = Clock()
+        self.figures = Figures(c.name for c in settings.classes)
         self.tickets: dict[int, Ticket] = {}
         self.open_ids: set[bytes] = set()   # of the tickets, as the clients named them
         self.waiting = 0        # requests without an answer yet
@@ -122,7 +124,7 @@
             log.exception("the decision module failed on %r", event)
             ticket = self.tickets.get(getattr(event, "request", -1))
             if ticket is not None and not ticket.out:
-                self._finish(ticket, lambda client: client.failed())
+                self._finish_failed(ticket)
             return
         self._carry_out(actions)
 
@@ -138,6 +140,24 @@
         self.backends.follow(roster, addresses)
         self.post(roster)
 
+    def withdraw(self, backend: str) -> bool:
+        """An operator takes a backend out; no where no list has named it."""
+        if not self.controller.names(backend):
+            return False
+        self.backends.withdraw(backend)
+        self.post(api.Withdraw(backend))
+        return True
+
+    def restore(self, backend: str) -> bool:
+        if not self.controller.names(backend):
+            return False
+        self.backends.restore(backend)
+        self.post(api.Restore(backend))
+        return True
+
+    def render_figures(self) -> bytes:
+        return self.figures.render(self.waiting, *self.controller.cluster(self.clock()))
+
     def admit(self, client: Client, asked: Asked) -> int:
         """Take a request whose last byte has come; its id, for `gone`."""
         self.last_id += 1
@@ -158,17 +178,22 @@
         """The client has closed its connection: nobody is owed an answer; what is out may end."""
         ticket = self.tickets.get(request)
         if ticket is not None and ticket.client is not None:
-            self._finish(ticket, lambda client: None)
+            self._finish(ticket, None, lambda client: None)
             self.post(api.ClientGone(request))
 
-    def _finish(self, ticket: Ticket, answer: Callable[[Client], None]) -> None:
+    def _finish(self, ticket: Ticket, counts: list[int] | None, answer: Callable[[Client], None]) -> None:
         """The one answer of a request; whatever else is said of it later is moot."""
         client, ticket.client = ticket.client, None
         if client is not None:
             self.waiting -= 1
+            if counts is not None:
+                counts[ticket.asked.cls] += 1
             self._forget(ticket)
             answer(client)
 
+    def _finish_failed(self, ticket: Ticket) -> None:
+        self._finish(ticket, self.figures.errored, lambda client: client.failed())
+
     def _forget(self, ticket: Ticket) -> None:
         if ticket.client is None and not ticket.out and self.tickets.pop(ticket.id, None) is not None:
             ticket.timer.cancel()
@@ -181,12 +206,12 @@
         if ticket.client is not None:
             # Guards against a module that has lost a request: the answer must not wait for it.
             complain("host", "request %d was still unanswered when its time was up", ticket.id)
-            self._finish(ticket, lambda client: client.failed())
+            self._finish_failed(ticket)
 
     def fail_all(self) -> None:
         """The process ends: what is open gets its answer now, while there is someone to give it."""
         for ticket in list(self.tickets.values()):
-            self._finish(ticket, lambda client: client.failed())
+            self._finish_failed(ticket)
 
     # Actions
 
@@ -206,12 +231,15 @@
                 timer.cancel()
             ticket.out.pop(number, None)
             if status is api.Status.OK and ticket.client is not None:
-                self._finish(ticket, lambda client: client.served(answer))
+                self._finish(ticket, self.figures.answered, lambda client: client.served(answer))
             self._forget(ticket)
             self.post(api.Outcome(send.request, number, send.backend, status, self.clock() - now,
                                   ticket.client is None, report=self._report(answer)))
 
-        exchange = Exchange(lambda: ticket.asked.render(until - self.clock()), done)
+        def sent() -> None:
+            self.figures.sends[ticket.asked.cls] += 1
+
+        exchange = Exchange(lambda: ticket.asked.render(until - self.clock()), done, sent)
         ticket.out[number] = exchange
         if until < ticket.deadline:     # else the request's own timer ends it
             timer = self.loop.call_later(until - now, exchange.give_up, api.Status.TIMEOUT)
@@ -225,11 +253,11 @@
 
     def _refuse(self, refuse: api.Refuse) -> None:
         if (ticket := self.tickets.get(refuse.request)) is not None:
-            self._finish(ticket, lambda client: client.refused(refuse.retry_after))
+            self._finish(ticket, self.figures.deferred, lambda client: client.refused(refuse.retry_after))
 
     def _fail(self, fail: api.Fail) -> None:
         if (ticket := self.tickets.get(fail.request)) is not None:
-            self._finish(ticket, lambda client: client.failed())
+            self._finish_failed(ticket)
 
     def _cancel(self, cancel: api.CancelAttempt) -> None:
         ticket = self.tickets.get(cancel.request)
--- a/fennelpoint/net/server.py
+++ b/fennelpoint/net/server.py
@@ -9,6 +9,7 @@
 import asyncio
 import math
 import re
+import select
 import time
 from collections import deque
 from functools import lru_cache
@@ -31,6 +32,8 @@
 LINGER = 0.5            # s to read on after an error, so that its answer is not lost with a reset
 MOST_DRAINED = 1024 * 1024  # bytes read and dropped meanwhile
 YOUNG = 0.25            # s that a new connection has to send its request before it may have to make room
+TURN_AWAY = 1.0         # s after a drain before unused connections are closed: the front turns away meanwhile
+DRAINED_IDLE = 0.5      # s that one has stood unused by then
 MOST_LEFT_MS = 600_000  # ms; a longer wait is not meant
 MOST_CUSTOMER = 1 << 33
 MOST_TERMS = 128        # bytes
@@ -303,6 +306,7 @@
                 self._write(200 if ready else 503, (), b"ready\n" if ready else b"not ready\n", self.keep)
             elif self.server.host.is_open(what.txn):
                 # Guards against a second copy in another's name: an id is new with every request.
+                self.server.host.figures.errored[what.cls] += 1
                 self._write(409, (), b"this id is open\n", keep=False)
             else:
                 self._stand(None)
@@ -370,6 +374,12 @@
 
     # Upkeep
 
+    def unread(self) -> bool:
+        """Whether something has come that the loop has not read yet: closing now would lose it."""
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def overdue(self) -> None:
         """A request that doesn't come whole is told off; nobody waits for one that never began."""
         if self.choked or self.deaf:
@@ -392,9 +402,15 @@
         self.coming: dict[ClientConnection, None] = {}   # new, or a request has begun to come
         self.idle: dict[ClientConnection, None] = {}     # answered, and kept
         self.leaving: dict[ClientConnection, None] = {}  # told that they are closed
-        self.draining = False
+        self.stopping = False   # the process is about to end
+        self.drained_at: float | None = None    # when operators sent the clients away
         self.listener: asyncio.Server | None = None
 
+    @property
+    def draining(self) -> bool:
+        """Whether each answer is the last of its connection."""
+        return self.stopping or self.drained_at is not None
+
     @property
     def ready(self) -> bool:
         return self.listener is not None and self.host.ready and not self.draining
@@ -424,6 +440,23 @@
         for line, most in ((self.coming, HEAD_TIMEOUT), (self.idle, IDLE_TIMEOUT), (self.leaving, LINGER)):
             for connection in list(takewhile(lambda c: c.since < now - most, line)):  # noqa: B023
                 connection.overdue()
+        if self.drained_at is not None and now - self.drained_at >= TURN_AWAY:
+            self._close_unused(now - DRAINED_IDLE)
+
+    def drain(self) -> None:
+        """Send the clients away; what is open is finished, and `activate` undoes it."""
+        if self.drained_at is None:
+            self.drained_at = time.monotonic()
+
+    def activate(self) -> None:
+        self.drained_at = None
+
+    def _close_unused(self, before: float) -> None:
+        """Close the connections without a request that have stood since then or longer."""
+        for line in (self.idle, self.coming):
+            for connection in list(takewhile(lambda c: c.since < before, line)):
+                if not (connection.in_head or connection.in_body or connection.unread()):
+                    connection.transport.close()
 
     def stop_listening(self) -> None:
         if self.listener is not None:
--- a/fennelpoint/state.py
+++ b/fennelpoint/state.py
@@ -23,12 +23,13 @@
     fails: int = 0          # attempts in a row that failed
     failed_at: float = -1e9  # when the last of them ended; what was sent before tells no more
     rest_until: float = 0.0 # nothing is sent before
-
+    withdrawn: bool = False # by an operator
+    restored_at: float = 0.0  # when an operator put it back: it counts as started then
 
     @property
     def usable(self) -> bool:
-        """Whether the roster lets us send to it."""
-        return self.entry.state is BackendState.READY
+        """Whether the roster and the operators let us send to it."""
+        return self.entry.state is BackendState.READY and not self.withdrawn
 
 
 @dataclass(slots=True, eq=False)
--- a/fennelpoint/upkeep.py
+++ b/fennelpoint/upkeep.py
@@ -12,6 +12,8 @@
 from fennelpoint import interface as api
 from fennelpoint.state import Backend, Customer, Try
 
+MOST_NAMED = 10_000     # ids of backends that are remembered after they are gone
+
 
 class Timers:
     """One timer for each token: the soonest that was asked for; those that it replaced are stale."""
@@ -71,6 +73,9 @@
         self.busy: dict[object, Backend] = {}   # those with attempts out
         self.out = 0                            # attempts out at all of them
         self.probing: dict[object, list[Try]] = {}  # tries that wait for a backend's own word
+        self.named: dict[object, None] = {}     # ids of all lists so far, the last named last
+        self.withdrawn: set[object] = set()     # ids that operators took out, in the list or not
+        self.restored: dict[object, float] = {}  # and when they put one back
 
     def follow(self, roster: api.Roster, random: Random, now: float) -> None:
         """Take in a list or its changes; a start that was not known is a new backend."""
@@ -79,9 +84,13 @@
             for key, b in self.known.items():
                 b.entry.state = b.entry.state if key in named else api.BackendState.GONE
         for e in roster.entries:
+            self.named.pop(e.backend, None)
+            self.named[e.backend] = None
             old = self.known.get(e.backend)
             if old is None or (e.state is api.BackendState.READY and e.started_at != old.entry.started_at):
-                new = self.known[e.backend] = Backend(e, random.random(), now)
+                new = self.known[e.backend] = Backend(
+                    e, random.random(), now, withdrawn=e.backend in self.withdrawn,
+                    restored_at=self.restored.get(e.backend, 0.0))
                 if old is not None:  # what was out there before its restart may still be answered
                     new.rank, new.out, new.load = old.rank, old.out, old.load
                     self.busy.update({e.backend: new} if new.out else {})
@@ -89,8 +98,34 @@
                 old.entry = e
         for b in [b for b in self.known.values() if b.entry.state is api.BackendState.GONE and not b.out]:
             del self.known[b.entry.backend]
+        for name in list(islice(self.named, max(0, len(self.named) - MOST_NAMED))):
+            if name not in self.known and name not in self.withdrawn:
+                del self.named[name]
+                self.restored.pop(name, None)
+        self._arrange()
+
+    def _arrange(self) -> None:
         self.ready = sorted((b for b in self.known.values() if b.usable), key=lambda b: b.rank)
 
+    def withdraw(self, name: object) -> None:
+        self.withdrawn.add(name)
+        if (b := self.known.get(name)) is not None:
+            b.withdrawn = True
+            self._arrange()
+
+    def restore(self, name: object, now: float) -> None:
+        """Back in use, with nothing held against it; one that was not out stays as it is."""
+        if name not in self.withdrawn:
+            return
+        self.withdrawn.discard(name)
+        self.restored[name] = now
+        if (b := self.known.get(name)) is not None:
+            b.withdrawn, b.restored_at, b.rest_until, b.fails, b.slow = False, now, 0.0, 0, 1.0
+            self._arrange()
+
+    def listed(self) -> list[Backend]:
+        return [b for b in self.known.values() if b.entry.state is not api.BackendState.GONE]
+
     def send(self, b: Backend, t: Try, work: float, aim: float, now: float) -> None:
         b.out[t.ask.request] = (work, now, aim, t.customer)
         b.load, self.busy[b.entry.backend] = b.load + work, b
@@ -106,7 +141,6 @@
         if not b.out:
             self.busy.pop(b.entry.backend, None)
 
-
     def probed(self, backend: object) -> list[Try]:
         """The tries for which this was the last probe to be answered."""
         tries = self.probing.pop(backend, ())
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -164,10 +164,11 @@
         known = {"revision": 1, "complete": True, "members": members}
         config = Config("n0", ("127.0.0.1", 0), parse_address(discovery, "discovery"),
                         parse_address(counter, "counter"), 7, 1024, settings,
-                        parse_list(known, settings) if self.known else None)
+                        parse_list(known, settings) if self.known else None, ("127.0.0.1", 0))
         self.ingress = Ingress(asyncio.get_running_loop(), config)
         await self.ingress.start()
         self.address = self.ingress.server.listener.sockets[0].getsockname()
+        self.mgmt = self.ingress.operators.listener.sockets[0].getsockname()
         await until(lambda: self.ingress.server.ready)
 
     def stop(self) -> None:
--- /dev/null
+++ b/tests/test_bans.py
@@ -0,0 +1,80 @@
+"""Backends that operators take out: the module keeps to that whatever the list says."""
+
+import pytest
+from conftest import DRAINING, GONE, READY, SAFE, World, make_settings
+
+from fennelpoint import interface as api
+
+
+def sent(world: World, times: int = 20) -> dict[str, int]:
+    """Where that many requests go, each answered at once."""
+    to: dict[str, int] = {}
+    for _ in range(times):
+        for a in world.ask(SAFE, customer=1000 + world.ids):
+            if isinstance(a, api.Send):
+                to[a.backend] = to.get(a.backend, 0) + 1
+                world.answer(a.request, a.backend)
+        world.wait(0.05)
+    return to
+
+
+@pytest.mark.parametrize("then", [
+    [],
+    [api.BackendEntry("a", READY, started_at=99.0), api.BackendEntry("b", READY)],
+    [api.BackendEntry("b", READY)],
+], ids=["nothing", "a new start", "gone from the list"])
+def test_a_ban_outlives_every_list(world, then):
+    assert "a" in sent(world)
+    world.give(api.Withdraw("a"))
+    if then:
+        world.roster(*then)
+    assert set(sent(world)) == {"b"}
+    world.roster(api.BackendEntry("a", READY, started_at=99.5), kind=api.RosterKind.CHANGES)
+    assert set(sent(world)) == {"b"}
+    world.give(api.Restore("a"))
+    world.wait(world.settings.ramp_time)
+    assert "a" in sent(world)
+
+
+def test_put_back_it_is_cold_and_warms_up_in_the_usual_time(world):
+    backend = world.control.fleet.known["a"]
+    world.give(api.Withdraw("a"))
+    world.give(api.Withdraw("a"))
+    world.wait(1.0)
+    world.give(api.Restore("a"))    # one call ends it
+    assert world.control._cold_share(backend, world.now) == world.settings.cold_share
+    assert 0 < sent(world, 40).get("a", 0) < 20
+    world.wait(world.settings.ramp_time)
+    assert world.control._cold_share(backend, world.now) == 1.0
+    # The list tells late of the start it had meanwhile: it is no warmer for that.
+    world.give(api.Withdraw("a"))
+    world.give(api.Restore("a"))
+    world.roster(api.BackendEntry("a", READY, started_at=world.now - 50.0), kind=api.RosterKind.CHANGES)
+    assert world.control._cold_share(world.control.fleet.known["a"], world.now) == world.settings.cold_share
+
+
+def test_put_back_without_a_ban_it_stays_warm(world):
+    world.give(api.Restore("a"))
+    assert world.control._cold_share(world.control.fleet.known["a"], world.now) == 1.0
+
+
+def test_what_waits_goes_on_once_the_only_backend_is_back():
+    world = World(make_settings(cold_share=1.0))
+    world.backends("a")
+    world.give(api.Withdraw("a"))
+    assert not [a for a in world.ask(SAFE) if isinstance(a, api.Send)]
+    assert [a for a in world.give(api.Restore("a")) if isinstance(a, api.Send)]
+
+
+def test_module_tells_whom_it_knows_and_whom_it_avoids(world):
+    assert world.control.names("a") and not world.control.names("c")
+    assert world.control.cluster(world.now) == (2, 0)
+    world.give(api.Withdraw("a"))
+    world.roster(api.BackendEntry("c", DRAINING), kind=api.RosterKind.CHANGES)
+    assert world.control.cluster(world.now) == (3, 2)
+    world.roster(api.BackendEntry("a", GONE), kind=api.RosterKind.CHANGES)
+    assert world.control.cluster(world.now) == (2, 1) and world.control.names("a")
+    actions = world.ask(SAFE)
+    assert [a.backend for a in actions] == ["b"]
+    world.answer(actions[0].request, "b", api.Status.RESET)
+    assert world.control.cluster(world.now) == (2, 2)   # it rests
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -43,6 +43,7 @@
     (dict(counter=None), "counter"),
     (dict(seed="xyz"), "seed"),
     (dict(limits={"sockets": "many"}), "limits.sockets"),
+    (dict(mgmt="127.0.0.1"), "mgmt"),
     (dict(known={"revision": 1}), "known.complete"),
     (dict(settings=without(SETTINGS, "me")), "setting me is missing"),
     (dict(settings={**SETTINGS, "tick_s": "often"}), "setting tick_s"),
