--- a/fennelpoint/__main__.py
+++ b/fennelpoint/__main__.py
@@ -8,7 +8,10 @@
 import logging
 import os
 import signal
+import socket
 import sys
+import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import uvloop
@@ -17,6 +20,7 @@
 from fennelpoint.net.backends import Backends
 from fennelpoint.net.counter import Counter
 from fennelpoint.net.discovery import Address, Discovery, Listing, parse_address, parse_list
+from fennelpoint.net.handover import Handover, State
 from fennelpoint.net.host import Host
 from fennelpoint.net.notice import in_background, log
 from fennelpoint.net.operators import MOST_CALLERS, Operators
@@ -26,11 +30,17 @@
 SWEEP = 0.25            # s between looks at idle connections
 LIST_WAIT = 1.0         # s for discovery to answer before the list known from before will do
 ACCEPT_ON = 0.5         # s that connections are still taken after SIGTERM: the front learns late
-STOP_WITHIN = 3.4       # s after SIGTERM by which all is answered and the process gone
+LONGEST_STOP, STOP_SLACK = 3.0, 0.4  # s after SIGTERM by which all is answered: the longest deadline, this at
+                        # most, and the slack; SIGKILL comes 0.3 s later
+LAST_TAKEN = 0.5        # s before the longest deadline is over: from then on a stopping process takes nothing
+UNUSED = 2.0            # s that a connection stands unused before it is closed beside a newer process
 SOCKETS = 1024          # descriptors, where the configuration tells no limit
 RESERVED = 32           # of them for files, the loop, discovery, the counter and the listener
 GC_THRESHOLDS = (10_000, 20, 50)  # nearly all is freed by count: cycles are looked for more rarely
-UPSTREAM_SHARE = 0.4    # of the rest for upstream connections; the clients get the others
+# Of the rest, for upstream connections and for clients: alone, beside an older process, beside a newer one.
+# An older one can't shed what is open, but it takes nothing more and needs less by the moment.
+ROOM = {"alone": (0.4, 0.6), "newer": (0.25, 0.38), "older": (0.15, 0.22)}
+STOPPING_PART, STAYING_PART, EVEN_PART = 0.25, 0.75, 0.5  # of the allowances, while there are two processes
 
 
 class ConfigError(Exception):
@@ -48,6 +58,8 @@
     settings: api.Settings
     known: Listing | None
     mgmt: Address | None = None     # the second address, for operators
+    listen_fd: int | None = None    # the platform's listening socket, which is to be used in place of an own
+    folder: str | None = None       # where the processes of this ingress leave word for one another
 
 
 def read_config(path: str) -> Config:
@@ -74,7 +86,8 @@
                       parse_address(counter, "counter") if counter is not None else None,
                       read_seed(value.get("seed")), sockets, settings,
                       parse_list(known, settings, where="known") if known is not None else None,
-                      parse_address(mgmt, "mgmt") if mgmt is not None else None)
+                      parse_address(mgmt, "mgmt") if mgmt is not None else None,
+                      read_listen_fd(os.environ.get("BALANCER_LISTEN_FD")), os.environ.get("TMPDIR"))
     except ValueError as error:
         raise ConfigError(f"configuration: {error}") from None
 
@@ -86,15 +99,36 @@
         raise ConfigError(f"configuration: seed: {value!r} is not a hexadecimal number") from None
 
 
+def read_listen_fd(value: str | None) -> int | None:
+    """The number of a descriptor, where the platform names one."""
+    if not value:
+        return None
+    if not (value.isascii() and value.isdigit()):
+        raise ConfigError(f"BALANCER_LISTEN_FD: {value!r} is not a descriptor")
+    return int(value)
+
+
+def inherited(descriptor: int) -> socket.socket:
+    """The socket that the platform listens on."""
+    try:
+        shared = socket.socket(fileno=descriptor)
+        if not shared.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            raise ConfigError(f"BALANCER_LISTEN_FD: {descriptor} does not listen")
+    except OSError as error:
+        raise ConfigError(f"BALANCER_LISTEN_FD: {descriptor}: {error}") from None
+    return shared
+
+
 class Ingress:
     """The parts of a running ingress and the order in which they start and stop."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, config: Config, path: str = "") -> None:
-        settings, room = config.settings, config.sockets - RESERVED
-        if config.mgmt is not None:
-            room -= MOST_CALLERS + 1    # whatever the load, an operator can call
-        upstream = int(room * UPSTREAM_SHARE)
+        settings = config.settings
         self.loop, self.config, self.path, self.stopped = loop, config, path, loop.create_future()
+        self.shared = inherited(config.listen_fd) if config.listen_fd is not None else None
+        self.handover = Handover(config.folder, config.name)
+        self.place, self.listening = "alone", False
+        upstream, clients = self._room()
         self.backends = Backends(loop, upstream, settings.connect_timeout, settings.idle_close,
                                  min(c.aim for c in settings.classes))
         self.counter = Counter(loop, *config.counter, settings.counter_timeout) if (
@@ -102,21 +136,66 @@
         self.host = Host(loop, settings, config.seed, self.backends, self.counter)
         self.discovery = Discovery(loop, config.discovery, settings, self.follow)
         self.coming: Discovery | None = None    # a new discovery that has not told its list yet
-        self.server = Server(loop, self.host, room - upstream)
+        self.server = Server(loop, self.host, clients)
         self.operators = Operators(loop, self) if config.mgmt is not None else None
+        self.opening: asyncio.Task | None = None
         self.stopping_since: float | None = None
+        self.longest = min(LONGEST_STOP, max(c.deadline for c in settings.classes))
+
+    def _room(self) -> tuple[int, int]:
+        """Descriptors for upstream connections and for clients."""
+        reserved = RESERVED
+        if self.config.mgmt is not None:
+            reserved += MOST_CALLERS + 1    # whatever the load, an operator can call
+        room, (upstream, clients) = self.config.sockets - reserved, ROOM[self.place]
+        return max(1, int(room * upstream)), max(1, int(room * clients))
 
     async def start(self) -> None:
+        self.handover.appear()
+        self._share()
+        self._take_bans()
         if self.operators is not None:
             await self.operators.listen(self.config.mgmt)
         if (known := self.config.known) is not None:
             known.roster.kind = api.RosterKind.CACHED
             self.discovery.take(known)
-        await self.server.listen(self.config.listen)
+        if self.shared is None or self.place == "alone":
+            await self._listen()
         self.discovery.start()
         self.loop.call_later(LIST_WAIT, self._go_by_known)
         self.loop.call_later(SWEEP, self._sweep)
 
+    async def _listen(self) -> None:
+        self.listening = True
+        await self.server.listen(self.config.listen if self.shared is None else self.shared)
+        if self.host.ready:
+            self.handover.say(State.RUNNING)
+
+    def _share(self) -> None:
+        """Split what the ingress may use with another process of it, as long as there is one."""
+        others = self.handover.others()
+        starting = self.stopping_since is None and not (self.listening and self.host.ready)
+        if not others:
+            self.place = "alone"
+        elif self.place == "alone":
+            self.place = "newer" if starting else "older"
+        if all(state is State.STARTING for state in others):
+            part = 1.0
+        elif self.stopping_since is not None:
+            part = STOPPING_PART
+        else:
+            part = STAYING_PART if State.STOPPING in others else EVEN_PART
+        self.backends.most, self.server.most = self._room()
+        self.host.take_part(part)
+
+    def _take_bans(self) -> None:
+        """Follow what another process of this ingress, or the one before, was told by operators."""
+        bans, ours = self.handover.changed_bans(), self.host.withdrawn
+        for backend in (bans - ours if bans is not None else ()):
+            self.host.withdraw(backend)
+        for backend in (ours - bans if bans is not None else ()):
+            self.host.restore(backend)
+
     def follow(self, roster: api.Roster, addresses: dict[str, Address]) -> None:
         self.host.follow(roster, addresses)
         if roster.kind is api.RosterKind.FULL:
@@ -131,10 +210,18 @@
         return self.host.render_figures()
 
     def suspend(self, backend: str) -> bool:
-        return self.host.withdraw(backend)
+        return self._ban(backend, self.host.withdraw)
 
     def resume(self, backend: str) -> bool:
-        return self.host.restore(backend)
+        return self._ban(backend, self.host.restore)
+
+    def _ban(self, backend: str, change: Callable[[str], None]) -> bool:
+        if not self.host.names(backend):
+            return False
+        self._take_bans()   # what the other process was told just now is not to be undone
+        change(backend)
+        self.handover.write_bans(self.host.withdrawn)
+        return True
 
     def drain(self) -> bool:
         if self.stopping_since is None:
@@ -181,6 +268,10 @@
         if not self.host.ready:
             self.host.ready = True
             log.info("%s is ready", self.config.name)
+            if not self.listening:  # beside an older process, which served until now
+                self.opening = self.loop.create_task(self._listen())
+            elif self.server.listener is not None:
+                self.handover.say(State.RUNNING)
 
     def _go_by_known(self) -> None:
         """A restart while discovery is down goes on with the list that was known."""
@@ -189,6 +280,10 @@
 
     def _sweep(self) -> None:
         self.loop.call_later(SWEEP, self._sweep)
+        self._share()
+        self._take_bans()
+        if not self.listening and self.place == "alone" and self.stopping_since is None:
+            self.opening = self.loop.create_task(self._listen())    # the older process is gone
         self.server.sweep()
         self.backends.sweep()
         if self.counter is not None:
@@ -200,12 +295,29 @@
             return
         log.info("%s stops", self.config.name)
         self.stopping_since, self.server.stopping = self.loop.time(), True
-        self.loop.call_later(ACCEPT_ON, self._finish)
+        self.handover.say(State.STOPPING)
+        self._share()
+        if self.shared is not None and State.RUNNING in self.handover.others():
+            # What waits to be accepted is the newer process's, and clients can only come to that one.
+            self.server.stop_listening()
+            self._finish_beside()
+        else:
+            self.loop.call_later(ACCEPT_ON, self._finish)
+
+    def _finish_beside(self) -> None:
+        """Finish beside a newer process: no connection is closed that a request may be on its way on."""
+        if self.loop.time() - self.stopping_since > self.longest - LAST_TAKEN:
+            return self._finish()
+        self.server.close_unused(time.monotonic() - UNUSED)
+        if self.server.connections:
+            self.loop.call_later(0.02, self._finish_beside)
+        else:
+            self._finish()
 
     def _finish(self) -> None:
         self.server.stop_listening()
-        self.server.close_idle()
-        late = self.loop.time() - self.stopping_since > STOP_WITHIN
+        self.server.close_unused(time.monotonic())
+        late = self.loop.time() - self.stopping_since > self.longest + STOP_SLACK
         if late:
             self.host.fail_all()
         if late or not self.server.connections:
@@ -227,6 +339,7 @@
             self.operators.close()
         self.server.close()
         self.backends.close()
+        self.handover.leave()
         if self.counter is not None:
             self.counter.close()
 
@@ -261,6 +374,9 @@
         return 2
     try:
         uvloop.run(serve(config, path))
+    except ConfigError as error:
+        print(f"fennelpoint: {error}", file=sys.stderr)
+        return 2
     except OSError as error:
         print(f"fennelpoint: listen: {error}", file=sys.stderr)
         return 1
--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -84,7 +84,9 @@
                    api.ProbeResult: self._probed, api.TimerDue: self._timer, api.CounterReply: self._counted,
                    api.ClientGone: lambda event, now: self.line.end(event.request),
                    api.Withdraw: lambda event, now: self.fleet.withdraw(event.backend),
-                   api.Restore: lambda event, now: self._restore(event.backend, now)}
+                   api.Restore: lambda event, now: self._restore(event.backend, now),
+                   api.Part: lambda event, now: self._take_part(event.part, now)}
+        self.part = 1.0     # of this ingress's allowances; the rest is with another process of it
 
     def start(self, now: float) -> list[api.Action]:
         return [api.Subscribe()] if self.settings.discovery == "ask" else []
@@ -95,25 +97,39 @@
         return self.out
 
     def names(self, backend: object) -> bool:
-        """Whether any list so far has named it."""
-        return backend in self.fleet.named
+        """Whether any list so far has named it, here or where it was taken out."""
+        return backend in self.fleet.named or backend in self.fleet.withdrawn
 
     def cluster(self, now: float) -> tuple[int, int]:
         """How many backends the list names, and how many of them get nothing new at present."""
         listed = self.fleet.listed()
         return len(listed), sum(not b.usable or now < b.rest_until for b in listed)
 
+    def _take_part(self, part: float, now: float) -> None:
+        """Share the allowances with another process as if each customer's set were so much wider.
+
+        What was saved up shrinks with the part, and does not grow with it: the other one may have used it.
+        """
+        wider, self.part = self.part / part, part
+        for c in self.customers.values():
+            self._fill(c, now)
+            c.width, c.share = c.width * wider, min(1.0, c.share / wider)
+            if wider > 1.0:
+                c.level, c.ceiling, c.granted = c.level / wider, c.ceiling / wider, c.granted / wider
+        self._pump(now)
+
     def _timer(self, due: api.TimerDue, now: float) -> None:
         if self.timers.due(due.token, now):
             self._period(now) if due.token == TOKEN_PERIOD else self._pump(now)
 
     def _customer(self, ask: api.Request, now: float) -> Customer:
-        plan, width = self.settings.plans[ask.plan], max(1.0, ask.width)
+        plan, whole = self.settings.plans[ask.plan], max(1.0, ask.width)
+        width = whole / self.part
         if (c := self.customers.pop(ask.customer, None)) is None:
             c = Customer(ask.customer, ask.plan, width, 1.0 / width, max(plan.burst / width, ask.units),
                          store=plan.burst, filled=now, total_at=now,
                          count_at=now + self.random.uniform(0.3, 1.0) * COUNT_PERIOD)
-            if self.settings.has_counter and 0.0 < plan.rate * SPARSE < self.settings.most_units * width:
+            if self.settings.has_counter and 0.0 < plan.rate * SPARSE < self.settings.most_units * whole:
                 c.window = min(FORGET_COUNT, WINDOW * plan.burst / plan.rate)
         self.customers[ask.customer], c.seen = c, now
         forget(self.customers, SWEEP, now - FORGET)
--- a/fennelpoint/interface.py
+++ b/fennelpoint/interface.py
@@ -249,8 +249,15 @@
     backend: object
 
 
+@dataclass(slots=True)
+class Part:
+    """The part of this ingress's allowances that is ours: under 1 while another process runs beside us."""
+
+    part: float
+
+
 Event = (Roster | Request | Outcome | StreamStarted | ClientGone | TimerDue | ProbeResult
-         | PeerMessage | CounterReply | Withdraw | Restore)
+         | PeerMessage | CounterReply | Withdraw | Restore | Part)
 
 
 # Actions
--- a/fennelpoint/net/backends.py
+++ b/fennelpoint/net/backends.py
@@ -350,7 +350,12 @@
                 connection.close()
 
     def sweep(self) -> None:
-        """Drop what has been idle for long, before the backend does while a request is on its way."""
+        """Drop what has been idle for long, before the backend does while a request is on its way.
+
+        Also what is too much, where the bound was lowered meanwhile.
+        """
+        while len(self.all) > self.most and self._evict():
+            pass
         oldest = time.monotonic() - self.idle_most
         for upstream in self.upstreams.values():
             while upstream.idle and upstream.idle[0].idle_since < oldest:
--- a/fennelpoint/net/host.py
+++ b/fennelpoint/net/host.py
@@ -89,6 +89,7 @@
         self.open_ids: set[bytes] = set()   # of the tickets, as the clients named them
         self.waiting = 0        # requests without an answer yet
         self.last_id = 0
+        self.part = 1.0         # of the ingress's allowances that this process may use
         self.ready = False      # whether there is a list to go by
         self._events: deque[api.Event] = deque()
         self._delivering = False
@@ -140,20 +141,29 @@
         self.backends.follow(roster, addresses)
         self.post(roster)
 
-    def withdraw(self, backend: str) -> bool:
-        """An operator takes a backend out; no where no list has named it."""
-        if not self.controller.names(backend):
-            return False
+    @property
+    def withdrawn(self) -> set[str]:
+        """The backends that operators took out."""
+        return self.backends.withdrawn
+
+    def names(self, backend: str) -> bool:
+        """Whether a list has named it, or an operator has."""
+        return self.controller.names(backend)
+
+    def withdraw(self, backend: str) -> None:
+        """An operator takes a backend out, whatever discovery tells of it."""
         self.backends.withdraw(backend)
         self.post(api.Withdraw(backend))
-        return True
 
-    def restore(self, backend: str) -> bool:
-        if not self.controller.names(backend):
-            return False
+    def restore(self, backend: str) -> None:
         self.backends.restore(backend)
         self.post(api.Restore(backend))
-        return True
+
+    def take_part(self, part: float) -> None:
+        """From now on so much of the ingress's allowances is this process's."""
+        if part != self.part:
+            self.part = part
+            self.post(api.Part(part))
 
     def render_figures(self) -> bytes:
         return self.figures.render(self.waiting, *self.controller.cluster(self.clock()))
--- a/fennelpoint/net/server.py
+++ b/fennelpoint/net/server.py
@@ -10,6 +10,7 @@
 import math
 import re
 import select
+import socket
 import time
 from collections import deque
 from functools import lru_cache
@@ -415,9 +416,11 @@
     def ready(self) -> bool:
         return self.listener is not None and self.host.ready and not self.draining
 
-    async def listen(self, address: tuple[str, int]) -> None:
-        self.listener = await self.loop.create_server(
-            lambda: ClientConnection(self), *address, backlog=1024, reuse_address=True)
+    async def listen(self, where: tuple[str, int] | socket.socket) -> None:
+        """Accept at an address, or on a socket that listens already."""
+        at = {"sock": where} if isinstance(where, socket.socket) else {
+            "host": where[0], "port": where[1], "reuse_address": True}
+        self.listener = await self.loop.create_server(lambda: ClientConnection(self), backlog=1024, **at)
 
     def make_room(self) -> None:
         """Close one connection when there are too many: one that is owed nothing, the oldest of its kind.
@@ -441,7 +444,7 @@
             for connection in list(takewhile(lambda c: c.since < now - most, line)):  # noqa: B023
                 connection.overdue()
         if self.drained_at is not None and now - self.drained_at >= TURN_AWAY:
-            self._close_unused(now - DRAINED_IDLE)
+            self.close_unused(now - DRAINED_IDLE)
 
     def drain(self) -> None:
         """Send the clients away; what is open is finished, and `activate` undoes it."""
@@ -451,7 +454,7 @@
     def activate(self) -> None:
         self.drained_at = None
 
-    def _close_unused(self, before: float) -> None:
+    def close_unused(self, before: float) -> None:
         """Close the connections without a request that have stood since then or longer."""
         for line in (self.idle, self.coming):
             for connection in list(takewhile(lambda c: c.since < before, line)):
@@ -467,9 +470,3 @@
         self.stop_listening()
         for connection in list(self.connections):
             connection.transport.abort()
-
-    def close_idle(self) -> None:
-        for connection in list(self.idle):
-            connection.transport.close()
-        for connection in [c for c in self.coming if not (c.in_head or c.in_body)]:
-            connection.transport.close()
