--- a/fennelpoint/__main__.py
+++ b/fennelpoint/__main__.py
@@ -6,6 +6,7 @@
 import gc
 import json
 import logging
+import math
 import os
 import signal
 import socket
@@ -20,6 +21,7 @@
 from fennelpoint.net.backends import Backends
 from fennelpoint.net.counter import Counter
 from fennelpoint.net.discovery import Address, Discovery, Listing, parse_address, parse_list
+from fennelpoint.net.flow import Budget
 from fennelpoint.net.handover import Handover, State
 from fennelpoint.net.host import Host
 from fennelpoint.net.notice import in_background, log
@@ -35,6 +37,7 @@
 LAST_TAKEN = 0.5        # s before the longest deadline is over: from then on a stopping process takes nothing
 UNUSED = 2.0            # s that a connection stands unused before it is closed beside a newer process
 SOCKETS = 1024          # descriptors, where the configuration tells no limit
+MEMORY_MB = 128         # where the configuration tells no limit
 RESERVED = 32           # of them for files, the loop, discovery, the counter and the listener
 GC_THRESHOLDS = (10_000, 20, 50)  # nearly all is freed by count: cycles are looked for more rarely
 # Of the rest, for upstream connections and for clients: alone, beside an older process, beside a newer one.
@@ -59,6 +62,7 @@
     known: Listing | None
     mgmt: Address | None = None     # the second address, for operators
     listen_fd: int | None = None    # the platform's listening socket, which is to be used in place of an own
+    memory_mb: float = MEMORY_MB
     folder: str | None = None       # where the processes of this ingress leave word for one another
 
 
@@ -80,6 +84,9 @@
         sockets = limits.get("sockets", SOCKETS) if isinstance(limits, dict) else None
         if isinstance(sockets, bool) or not isinstance(sockets, int) or sockets < 2 * RESERVED:
             raise ConfigError(f"configuration: limits.sockets: {sockets!r} is not {2 * RESERVED} or more")
+        memory = limits.get("memory_mb", MEMORY_MB)
+        if isinstance(memory, bool) or not isinstance(memory, int | float) or not 0.0 < memory < math.inf:
+            raise ConfigError(f"configuration: limits.memory_mb: {memory!r} is not a size")
         known, mgmt = value.get("known"), value.get("mgmt", os.environ.get("BALANCER_MGMT"))
         return Config(str(value.get("name", "")), parse_address(value.get("listen"), "listen"),
                       parse_address(value.get("discovery"), "discovery"),
@@ -87,7 +94,8 @@
                       read_seed(value.get("seed")), sockets, settings,
                       parse_list(known, settings, where="known") if known is not None else None,
                       parse_address(mgmt, "mgmt") if mgmt is not None else None,
-                      read_listen_fd(os.environ.get("BALANCER_LISTEN_FD")), os.environ.get("TMPDIR"))
+                      read_listen_fd(os.environ.get("BALANCER_LISTEN_FD")), memory,
+                      os.environ.get("TMPDIR"))
     except ValueError as error:
         raise ConfigError(f"configuration: {error}") from None
 
@@ -130,7 +138,7 @@
         self.place, self.listening = "alone", False
         upstream, clients = self._room()
         self.backends = Backends(loop, upstream, settings.connect_timeout, settings.idle_close,
-                                 min(c.aim for c in settings.classes))
+                                 min(c.aim for c in settings.classes), Budget(config.memory_mb))
         self.counter = Counter(loop, *config.counter, settings.counter_timeout) if (
             config.counter is not None and settings.has_counter) else None
         self.host = Host(loop, settings, config.seed, self.backends, self.counter)
--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -85,6 +85,8 @@
                    api.ClientGone: lambda event, now: self.line.end(event.request),
                    api.Withdraw: lambda event, now: self.fleet.withdraw(event.backend),
                    api.Restore: lambda event, now: self._restore(event.backend, now),
+                   api.BodyWhole: lambda event, now: self._body_whole(event.request, now),
+                   api.StreamStarted: self._begun,
                    api.Part: lambda event, now: self._take_part(event.part, now)}
         self.part = 1.0     # of this ingress's allowances; the rest is with another process of it
 
@@ -255,9 +257,8 @@
 
     def _admit(self, ask: api.Request, now: float) -> None:
         c, cls, plan = self._customer(ask, now), self.settings.classes[ask.cls], self.settings.plans[ask.plan]
-        ends = now + ask.time_left - 2 * PUMP - self.settings.tick  # the last answer that is surely in time
-        half = now + ask.time_left / 2 - 2 * PUMP - self.settings.tick
-        t = Try(ask, c, now + min(cls.aim, ask.time_left), ends, cls.worth * plan.price, half)
+        t = Try(ask, c, inf, inf, cls.worth * plan.price)
+        self._time(t, now)
         self.line.open[ask.request], c.worth = t, max(c.worth, t.worth)
         self._fill(c, now)
         if c.window:
@@ -265,6 +266,31 @@
         self._enter(t, now)
         self._count(c, now)
 
+    def _time(self, t: Try, now: float) -> None:
+        """Its time counts from now."""
+        left, margin = t.ask.time_left, 2 * PUMP + self.settings.tick
+        t.aim_at = now + min(self.settings.classes[t.ask.cls].aim, left)
+        t.ends = now + left - margin    # the last answer that is surely in time
+        t.half = now + left / 2 - margin
+
+    def _body_whole(self, request: int, now: float) -> None:
+        """A large request has come whole: neither it nor its backend was late until now."""
+        if (t := self.line.open.get(request)) is None:
+            return
+        self._time(t, now)
+        for b in self.fleet.busy.values():
+            if request in b.out:
+                self.fleet.restart(b, request, now)
+
+    def _begun(self, begun: api.StreamStarted, now: float) -> None:
+        """A large answer goes out: its first bytes were in time or not, the rest is up to its client."""
+        t, b = self.line.open.get(begun.request), self.fleet.known.get(begun.backend)
+        if t is not None:
+            t.begun_at = now
+        if b is not None and begun.request in b.out:
+            self.fleet.begin(b, begun.request)
+        self._pump(now)
+
     def _enter(self, t: Try, now: float) -> None:
         """Send a new try, hold it while its aim can be met, or refuse it at once."""
         c, ask, plan = t.customer, t.ask, self.settings.plans[t.ask.plan]
@@ -320,7 +346,7 @@
         allowed, it lasts until the client stops waiting.
         """
         wait = PATIENCE * self.tail[t.ask.cls] / self._cold_share(b, now)
-        again = (t.attempts < self.settings.max_attempts and self.settings.may_cancel
+        again = (t.attempts < self.settings.max_attempts and self.settings.may_cancel and not t.ask.is_coming
                  and self.settings.classes[t.ask.cls].effect is not api.Effect.UNSAFE)
         return wait if again and now + wait + LATE_MARGIN * self.usual[t.ask.cls] <= t.aim_at else 0.0
 
@@ -384,7 +410,7 @@
             self._learn(backend, o, t, now)
         if t is not None and (o.status is api.Status.OK or o.ended):
             aim = self.settings.classes[t.ask.cls].aim
-            t.customer.ratios.append((now - (t.aim_at - aim)) / aim)
+            t.customer.ratios.append(((t.begun_at or now) - (t.aim_at - aim)) / aim)
             t.customer.level -= o.true_units - t.ask.units if o.true_units else 0.0  # where units are settled
             self._activate(t.customer, now)
             self.line.end(o.request)
@@ -395,7 +421,8 @@
             t.not_before = now + PAUSE_FULL * t.attempts * (o.status in (api.Status.FULL, api.Status.MOOT))
             again = t.ran_at is not None  # as time, effect and a budget against retry storms allow
             barred = self.retries < 1.0 or not self._allowed(t, now)
-            if t.attempts >= self.settings.max_attempts or now >= t.ends or again and barred:
+            if (t.attempts >= self.settings.max_attempts or now >= t.ends or again and barred
+                    or not o.is_held):
                 self._refuse(t, now, 0.0)
             else:
                 self.retries -= again
--- a/fennelpoint/interface.py
+++ b/fennelpoint/interface.py
@@ -180,6 +180,7 @@
     first: float
     is_repeat: bool = False
     is_write: bool = False
+    is_coming: bool = False     # its body is still on its way and won't be held: see `BodyWhole`
 
 
 @dataclass(slots=True)
@@ -193,10 +194,20 @@
     metered: int = 0
     true_units: float = 0.0
     report: list[float] = field(default_factory=list)
+    is_held: bool = True    # the request's body is, so that it can be sent again
+
+
+@dataclass(slots=True)
+class BodyWhole:
+    """The last byte of a request that was coming is here: its time counts from now."""
+
+    request: int
 
 
 @dataclass(slots=True)
 class StreamStarted:
+    """The first bytes of a large answer went to the client: the attempt is final, its outcome comes later."""
+
     request: int
     attempt: int
     backend: object
@@ -256,7 +267,7 @@
     part: float
 
 
-Event = (Roster | Request | Outcome | StreamStarted | ClientGone | TimerDue | ProbeResult
+Event = (Roster | Request | BodyWhole | Outcome | StreamStarted | ClientGone | TimerDue | ProbeResult
          | PeerMessage | CounterReply | Withdraw | Restore | Part)
 
 
--- a/fennelpoint/net/backends.py
+++ b/fennelpoint/net/backends.py
@@ -1,7 +1,8 @@
 """Upstream connections: pools, attempts, probes, and what each exchange's end proves.
 
 An exchange is one request on one connection and its whole answer.  It ends exactly once, in one of the
-outcomes of the protocol's table, and is never sent again from here.
+outcomes of the protocol's table, and is never sent again from here.  What is too large to hold goes through
+in pieces, either way.
 """
 
 from __future__ import annotations
@@ -13,14 +14,15 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 import httptools
 
 from fennelpoint.interface import BackendState, Roster, RosterKind, Status
+from fennelpoint.net import flow
+from fennelpoint.net.flow import Budget, Upload, Waiting
 from fennelpoint.net.notice import complain
 
-MOST_ANSWER = 64 * 1024     # bytes of a body
-MOST_RECEIVED = 2 * MOST_ANSWER  # bytes of a whole answer with its head and framing
 STALLED, STALLED_SHARE = 0.5, 0.25  # s with no byte amid an answer: no more will come; of the least aim
 OWN_SHORTAGE = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 CONNECT_TIMEOUT = 0.25      # s, where the settings tell none
@@ -38,16 +40,26 @@
     body: bytes
 
 
+class Receiver(Protocol):
+    """Takes a large answer in pieces; its end is the exchange's."""
+
+    def begin(self, answer: Answer, length: int | None, source: UpstreamConnection) -> None: ...
+    def piece(self, data: bytes) -> None: ...
+
+
 class Exchange:
     """One request to one backend, from the wish to send it until its outcome."""
 
-    __slots__ = ("render", "done", "sent", "connection", "connecting", "ended")
+    __slots__ = ("render", "done", "sent", "upload", "receiver", "connection", "connecting", "ended")
 
     def __init__(self, render: Callable[[], bytes], done: Callable[[Status, Answer | None], None],
-                 sent: Callable[[], None] = lambda: None) -> None:
+                 sent: Callable[[], None] = lambda: None, upload: Upload | None = None,
+                 receiver: Receiver | None = None) -> None:
         self.render = render    # the bytes to send, made when they can be written
-        self.done = done        # told the outcome, once
+        self.done = done        # told the outcome, once; with no answer where that was passed on in pieces
         self.sent = sent        # told that the last byte is written
+        self.upload = upload    # what follows these bytes as it comes
+        self.receiver = receiver    # who takes an answer too large to hold
         self.connection: UpstreamConnection | None = None
         self.connecting: asyncio.Task | None = None
         self.ended = False
@@ -69,8 +81,7 @@
         if connection is None or not connection.written:
             status = Status.CONNECT_FAILED
         if connection is not None:
-            connection.exchange = None
-            connection.close()
+            connection.give_up()
         self.end(status)
 
 
@@ -91,20 +102,24 @@
         return self.state is BackendState.READY and not (self.retired or self.withdrawn)
 
 
-class UpstreamConnection(asyncio.Protocol):
+class UpstreamConnection(asyncio.BufferedProtocol):
     """A kept-alive connection that carries one exchange at a time."""
 
-    __slots__ = ("pool", "upstream", "transport", "exchange", "first", "parser", "written", "idle_since",
-                 "poll", "status", "headers", "body", "size", "complete", "excess", "keep", "closed", "heard",
-                 "doubt", "__weakref__")
+    __slots__ = ("pool", "upstream", "transport", "exchange", "first", "parser", "flushed", "finished",
+                 "idle_since", "poll", "status", "headers", "length", "in_head", "until_close", "body",
+                 "body_size", "counted", "size", "complete", "excess", "keep", "closed", "heard", "moved",
+                 "doubt", "begun", "passing", "reading", "waiting", "__weakref__")
 
     def __init__(self, pool: Backends, upstream: Upstream, first: Exchange) -> None:
         self.pool, self.upstream, self.first = pool, upstream, first
-        self.heard, self.doubt = 0.0, ""
         self.transport: asyncio.Transport | None = None
         self.exchange: Exchange | None = None
         self.parser = httptools.HttpResponseParser(self)
-        self.written, self.closed, self.idle_since = True, False, 0.0
+        self.flushed = self.finished = self.reading = True
+        self.closed, self.idle_since = False, 0.0
+        self.waiting: Waiting | None = None     # what an upload has waiting here
+        self.counted = 0
+        self._reset()
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
@@ -124,116 +139,242 @@
     def start(self, exchange: Exchange) -> None:
         self.exchange, exchange.connection, exchange.connecting = exchange, self, None
         self._reset()
-        self.written = True     # unless pause_writing says that some is left
+        upload = exchange.upload
+        self.flushed, self.finished = True, upload is None  # flushed unless pause_writing says otherwise
         self.transport.write(exchange.render())
-        if self.written:
+        if upload is not None:
+            self.waiting, self.moved = Waiting(self.pool.budget, self.transport), time.monotonic()
+            self.pool.flowing.add(self)
+            upload.start(self)
+            self._look()
+        elif self.flushed:
             exchange.sent()
 
     def _reset(self) -> None:
-        self.status, self.headers, self.body, self.size = 0, [], [], 0
-        self.complete = self.excess = self.keep = False
-        self.heard, self.doubt = 0.0, ""
+        self.status, self.headers, self.length, self.in_head = 0, [], None, True
+        self.body, self.body_size, self.size = [], 0, 0
+        self.begun = self.complete = self.excess = self.keep = self.until_close = self.passing = False
+        self.heard, self.moved, self.doubt = 0.0, 0.0, ""
+
+    @property
+    def written(self) -> bool:
+        """Whether the last byte of the request is."""
+        return self.finished and self.flushed
 
     def stale(self) -> bool:
         """Whether the peer has closed its side, or said something unasked, since the last answer."""
         return self.closed or self.transport.is_closing() or bool(self.poll.poll(0))
 
+    # An upload on its way.
+
+    def pass_on(self, data: bytes) -> None:
+        if self.exchange.upload.length is None:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self.transport.write(data)
+        self._look()
+
+    def finish(self) -> None:
+        """The client's last byte has come."""
+        if self.exchange.upload.length is None:
+            self.transport.write(b"0\r\n\r\n")
+        self.finished = True
+        if self.flushed:
+            self._sent()
+
+    def _look(self) -> None:
+        """Read on from the client where little waits here."""
+        if self.waiting is not None:
+            self.exchange.upload.read_on(self.waiting.look() <= self.pool.budget.mark() or self.flushed)
+
+    def _sent(self) -> None:
+        if self.waiting is not None:
+            self._end_upload()
+        self.exchange.sent()
+
+    def _end_upload(self) -> None:
+        self.waiting.end()
+        self.waiting = None
+        self.exchange.upload.leave(self)
+        if not self.passing:
+            self.pool.flowing.discard(self)
+
     def pause_writing(self) -> None:
-        self.written = False
+        self.flushed = False
 
     def resume_writing(self) -> None:
-        self.written = True
-        if self.exchange is not None:
-            self.exchange.sent()
+        self.flushed = True
+        if self.exchange is None:
+            return
+        if self.finished:
+            self._sent()
+        elif self.waiting is not None:
+            self.moved = time.monotonic()
+            self._look()
+
+    # The answer.
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.pool.budget.buffer[:self.pool.budget.piece()]
+
+    def buffer_updated(self, count: int) -> None:
+        data = bytes(self.pool.budget.buffer[:count])
         if self.exchange is None:
             return self.close()     # unasked: an answer to nothing
-        self.size += len(data)
+        self.size += count
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if not self.complete:
                 return self._spoilt(f"can't be read ({error})")
             self.excess = True
+        if self.exchange is None:
+            return      # given up by who took the answer
         if self.complete and not self.doubt:
             self._answered()
         elif self.doubt:
             self._spoilt(self.doubt)
-        elif self.size > MOST_RECEIVED:
+        elif self.size > flow.MOST_OVERHEAD + flow.FRAMING * self.body_size:
             self._spoilt("is too large")
-        else:
+        elif self.passing:
+            self.moved = time.monotonic()
+        elif self.begun:
             self.heard = time.monotonic()
             self.pool.loop.call_later(self.pool.stalled, self.stalled)
 
     # What the parser reads.
 
     def on_message_begin(self) -> None:
-        self.excess = self.excess or self.complete
+        self.excess, self.begun = self.excess or self.complete, True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if not self.complete:
+        if self.in_head and not self.complete:      # else a trailer: too late to count
             self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         if self.complete:
             return
-        self.status = self.parser.get_status_code()
+        self.in_head, self.status = False, self.parser.get_status_code()
         if self.status == 200:
-            # Guards the wait and the memory: an answer of gigabytes, or of no told end, is not waited for.
             length = next((value for name, value in self.headers if name == b"content-length"), None)
-            if length is None and not any(name == b"transfer-encoding" for name, _ in self.headers):
-                self.doubt = "does not tell where it ends"
-            elif length is not None and int(length) > MOST_ANSWER:
+            chunked = any(name == b"transfer-encoding" for name, _ in self.headers)
+            self.length = int(length) if length is not None and not chunked else None
+            self.until_close = length is None and not chunked
+            if self.length is not None and self.length > flow.MOST_LARGE:
                 self.doubt = "is too large"
 
     def on_body(self, body: bytes) -> None:
-        if not self.complete:
+        if self.complete or self.doubt or self.exchange is None:
+            return
+        self.body_size += len(body)
+        if self.body_size > flow.MOST_LARGE:
+            self.doubt = "is too large"     # guards the client: one that never ends
+        elif self.passing:
+            self.exchange.receiver.piece(body)
+        else:
             self.body.append(body)
+            self.counted += len(body)
+            self.pool.budget.used += len(body)
+            if max(self.body_size, self.length or 0) > flow.HELD:
+                self._begin_passing()
+
+    def _begin_passing(self) -> None:
+        """The answer is too large to hold: what there is of it goes out now, the rest as it comes."""
+        if self.status != 200 or not self.written or self.exchange.receiver is None:
+            self.doubt = "is too large"
+            return
+        self.passing, self.moved = True, time.monotonic()
+        self.pool.flowing.add(self)
+        body = self._held()
+        self.exchange.receiver.begin(Answer(self.status, self.headers, body), self.length, self)
+
+    def _held(self) -> bytes:
+        """What is held of the answer, which is not from now on."""
+        body, self.body = b"".join(self.body), []
+        self.pool.budget.used -= self.counted
+        self.counted = 0
+        return body
 
     def on_message_complete(self) -> None:
         if self.complete:
             return
         if 100 <= self.status < 200:
             self.headers.clear()    # an interim answer; the one that counts follows
+            self.in_head, self.begun, self.heard = True, False, 0.0     # which may take its time
         else:
             # Asked here, as the parser has forgotten it once it returns: guards the reuse of connections.
             self.complete, self.keep = True, self.parser.should_keep_alive()
 
+    def read_on(self, on: bool) -> None:
+        """Whether there is room for more of the answer."""
+        if self.reading != on and not self.closed:
+            self.reading, self.moved = on, time.monotonic()
+            self.transport.resume_reading() if on else self.transport.pause_reading()
+
     def _answered(self) -> None:
-        exchange, body = self.exchange, b"".join(self.body)
-        answer = Answer(self.status, self.headers, body)
-        self.exchange = None
-        if self.excess or not self.written or not self.keep or not self.upstream.open:
+        exchange, whole, passed = self.exchange, self.written, self.passing
+        self._leave_exchange()
+        answer = Answer(self.status, self.headers, self._held())
+        if self.excess or not whole or not self.keep or self.until_close or not self.upstream.open:
             self.close()
         else:
+            self.read_on(True)
             self.idle_since = time.monotonic()
             self.upstream.idle.append(self)
-        if len(body) > MOST_ANSWER:
-            return exchange.end(Status.ERROR)
+        if passed:
+            return exchange.end(Status.OK)
         turned_away = self.status in (503, 504) and (b"x-turned-away", b"1") in self.headers
-        status = Status.OK if self.status == 200 else Status.FULL if turned_away else Status.ERROR
+        if turned_away or whole:
+            status = Status.OK if self.status == 200 else Status.FULL if turned_away else Status.ERROR
+        else:
+            status = Status.CONNECT_FAILED  # it answers what it has not got whole, so it has not run
         exchange.end(status, answer)
 
+    def _leave_exchange(self) -> None:
+        """The exchange is over here, whatever has become of it."""
+        if self.waiting is not None:
+            self._end_upload()
+        self.exchange, self.passing = None, False
+        self.pool.flowing.discard(self)
+
+    def give_up(self) -> None:
+        """Close, and tell nobody."""
+        if self.exchange is not None:
+            self._leave_exchange()
+        self.close()
+
     def _spoilt(self, what: str) -> None:
         """An answer that is none: the request may have run, and the connection is of no further use."""
         complain("upstream", "an answer of %s:%d %s", self.upstream.host, self.upstream.port, what)
-        exchange, self.exchange = self.exchange, None
-        self.close()
-        exchange.end(Status.ERROR)
+        exchange, whole = self.exchange, self.written
+        self.give_up()
+        exchange.end(Status.ERROR if whole else Status.CONNECT_FAILED)
 
     def stalled(self) -> None:
         """Guards the request's time: a length over what was sent would hold it until its deadline."""
-        if self.exchange is not None and 0.0 < self.heard <= time.monotonic() - 0.99 * self.pool.stalled:
+        if (self.exchange is not None and not self.passing
+                and 0.0 < self.heard <= time.monotonic() - 0.99 * self.pool.stalled):
             self._spoilt("does not come whole")
 
+    def overdue(self, now: float) -> None:
+        """A large body that neither comes nor goes is given up; while we don't read, the backend may wait."""
+        if self.waiting is not None:
+            before = self.waiting.size
+            if self.waiting.look() < before or self.flushed:
+                self.moved = now
+        if self.reading and now - self.moved > flow.STALLED:
+            self._spoilt("does not come whole" if self.passing else "comes before its request is taken")
+
     def eof_received(self) -> None:
-        """A half-closed connection takes no more requests; returning nothing closes our side too."""
+        """The end of an answer that lasts until the close.  Otherwise, a half-closed connection takes no more
+        requests; returning nothing closes our side too."""
+        if self.exchange is not None and self.until_close and not self.doubt:
+            self._answered()
 
     def connection_lost(self, error: Exception | None) -> None:
-        written, exchange, self.exchange = self.written, self.exchange, None
-        self.close()
+        written, exchange = self.written, self.exchange
+        self.give_up()
         self.pool.all.discard(self)
+        self._held()
         self.parser = self.poll = None  # parser and protocol hold each other, and collections are rare
         if exchange is not None:
             exchange.end(Status.RESET if written else Status.CONNECT_FAILED)
@@ -250,14 +391,15 @@
     """The connections to every backend that discovery has named, within one bound."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, most: int, connect_timeout: float,
-                 idle_close: float, aim: float) -> None:
-        self.loop, self.most = loop, most
+                 idle_close: float, aim: float, budget: Budget) -> None:
+        self.loop, self.most, self.budget = loop, most, budget
         # Soon against the aim: guards the time that another attempt needs.
         self.stalled = min(STALLED, STALLED_SHARE * aim)
         self.connect_timeout = connect_timeout or CONNECT_TIMEOUT
         self.idle_most = min(IDLE_MOST, idle_close * IDLE_SHARE) if idle_close else IDLE_MOST
         self.upstreams: dict[str, Upstream] = {}
         self.all: set[UpstreamConnection] = set()
+        self.flowing: set[UpstreamConnection] = set()   # with a large body on its way
         self.connecting: dict[asyncio.Task, Exchange] = {}
         self.withdrawn: set[str] = set()    # ids that operators took out
 
@@ -356,7 +498,10 @@
         """
         while len(self.all) > self.most and self._evict():
             pass
-        oldest = time.monotonic() - self.idle_most
+        now = time.monotonic()
+        for connection in list(self.flowing):
+            connection.overdue(now)
+        oldest = now - self.idle_most
         for upstream in self.upstreams.values():
             while upstream.idle and upstream.idle[0].idle_since < oldest:
                 upstream.idle[0].close()
--- a/fennelpoint/net/host.py
+++ b/fennelpoint/net/host.py
@@ -12,13 +12,15 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from math import inf
 from typing import Protocol
 
 from fennelpoint import interface as api
 from fennelpoint.control import Controller
-from fennelpoint.net.backends import Answer, Backends, Exchange, load_report
+from fennelpoint.net.backends import Answer, Backends, Exchange, UpstreamConnection, load_report
 from fennelpoint.net.counter import Counter
 from fennelpoint.net.figures import Figures
+from fennelpoint.net.flow import Upload
 from fennelpoint.net.notice import complain, log
 
 EARLY = 0.0005  # s by which a timer may ring ahead of its time
@@ -38,6 +40,10 @@
     """Where a request's answer goes."""
 
     def served(self, answer: Answer) -> None: ...
+    def begin(self, answer: Answer, length: int | None, source: UpstreamConnection) -> None: ...
+    def piece(self, data: bytes) -> None: ...
+    def finish(self) -> None: ...
+    def broken(self) -> None: ...
     def refused(self, retry_after: float) -> None: ...
     def failed(self) -> None: ...
 
@@ -58,6 +64,7 @@
     is_write: bool
     head: bytes     # request line and end-to-end fields, without the time left
     body: bytes
+    upload: Upload | None = None    # in place of the body, where that is too large to hold
 
     def render(self, left: float) -> bytes:
         """The bytes for a backend that is waited for this many seconds."""
@@ -75,6 +82,34 @@
     timer: asyncio.TimerHandle | None = None
     attempts: int = 0
     out: dict[int, Exchange] = field(default_factory=dict)
+    passing: Passing | None = None  # its large answer, on the way to the client
+
+
+@dataclass(slots=True, eq=False)
+class Passing:
+    """Takes a large answer for a ticket: from its first bytes on the attempt is the last."""
+
+    host: Host
+    ticket: Ticket
+    number: int
+    backend: str
+    sent_at: float
+    timer: asyncio.TimerHandle | None = None    # of the attempt
+    latency: float = 0.0    # of the first bytes
+    head: Answer | None = None
+
+    def begin(self, answer: Answer, length: int | None, source: UpstreamConnection) -> None:
+        self.latency, self.ticket.passing = self.host.clock() - self.sent_at, self
+        self.head = Answer(answer.status, answer.headers, b"")
+        for timer in (self.timer, self.ticket.timer):   # what was to come in time has
+            if timer is not None:
+                timer.cancel()
+        self.ticket.client.begin(answer, length, source)
+        self.host.post(api.StreamStarted(self.ticket.id, self.number, self.backend, self.latency))
+
+    def piece(self, data: bytes) -> None:
+        if self.ticket.client is not None:
+            self.ticket.client.piece(data)
 
 
 class Host:
@@ -171,15 +206,29 @@
     def admit(self, client: Client, asked: Asked) -> int:
         """Take a request whose last byte has come; its id, for `gone`."""
         self.last_id += 1
-        ticket = Ticket(self.last_id, asked, client, self.clock() + asked.time_left)
+        coming = asked.upload is not None and not asked.upload.whole
+        ticket = Ticket(self.last_id, asked, client, inf)
         self.tickets[ticket.id] = ticket
         self.open_ids.add(asked.txn)
         self.waiting += 1
-        ticket.timer = self.loop.call_later(asked.time_left, self._expire, ticket)
+        if coming:
+            asked.upload.on_whole = lambda: self._whole(ticket)
+        else:
+            self._time(ticket)
         self.post(api.Request(ticket.id, asked.cls, asked.plan, asked.customer, asked.time_left, asked.units,
-                              asked.width, asked.first, asked.is_repeat, asked.is_write))
+                              asked.width, asked.first, asked.is_repeat, asked.is_write, coming))
         return ticket.id
 
+    def _time(self, ticket: Ticket) -> None:
+        """Its last byte has come: its time counts from now."""
+        ticket.deadline = self.clock() + ticket.asked.time_left
+        ticket.timer = self.loop.call_later(ticket.asked.time_left, self._expire, ticket)
+
+    def _whole(self, ticket: Ticket) -> None:
+        if ticket.client is not None:
+            self._time(ticket)
+            self.post(api.BodyWhole(ticket.id))
+
     def is_open(self, txn: bytes) -> bool:
         """Whether a request of this id has no answer yet, or may still be with a backend."""
         return txn in self.open_ids
@@ -189,6 +238,10 @@
         ticket = self.tickets.get(request)
         if ticket is not None and ticket.client is not None:
             self._finish(ticket, None, lambda client: None)
+            if ticket.passing is not None or ticket.asked.upload is not None:
+                # There is nobody left to pass the rest on to, or to have it from.
+                for exchange in list(ticket.out.values()):
+                    exchange.give_up(api.Status.CANCELLED)
             self.post(api.ClientGone(request))
 
     def _finish(self, ticket: Ticket, counts: list[int] | None, answer: Callable[[Client], None]) -> None:
@@ -198,15 +251,20 @@
             self.waiting -= 1
             if counts is not None:
                 counts[ticket.asked.cls] += 1
+            if ticket.asked.upload is not None:
+                ticket.asked.upload.drop()
             self._forget(ticket)
             answer(client)
 
     def _finish_failed(self, ticket: Ticket) -> None:
-        self._finish(ticket, self.figures.errored, lambda client: client.failed())
+        # What has begun to go out can only be broken off: another answer would look like a part of it.
+        self._finish(ticket, self.figures.errored,
+                     lambda client: client.broken() if ticket.passing else client.failed())
 
     def _forget(self, ticket: Ticket) -> None:
         if ticket.client is None and not ticket.out and self.tickets.pop(ticket.id, None) is not None:
-            ticket.timer.cancel()
+            if ticket.timer is not None:
+                ticket.timer.cancel()
             self.open_ids.discard(ticket.asked.txn)
 
     def _expire(self, ticket: Ticket) -> None:
@@ -228,31 +286,45 @@
     def _send(self, send: api.Send) -> None:
         ticket, now = self.tickets.get(send.request), self.clock()
         number = ticket.attempts if ticket is not None else 0
+        upload = ticket.asked.upload if ticket is not None else None
         if (ticket is None or ticket.client is None or now >= ticket.deadline or send.timeout < 0.0
-                or number >= self.settings.max_attempts):
+                or number >= self.settings.max_attempts or upload is not None and upload.held is None):
             return self.post(api.Outcome(send.request, number, send.backend, api.Status.MOOT, 0.0,
                                          ticket is None or ticket.client is None))
         ticket.attempts += 1
         until = min(ticket.deadline, now + send.timeout) if send.timeout else ticket.deadline
-        timer: asyncio.TimerHandle | None = None
+        asked, passing = ticket.asked, Passing(self, ticket, number, send.backend, now)
 
         def done(status: api.Status, answer: Answer | None) -> None:
-            if timer is not None:
-                timer.cancel()
+            if passing.timer is not None:
+                passing.timer.cancel()
             ticket.out.pop(number, None)
-            if status is api.Status.OK and ticket.client is not None:
+            latency = self.clock() - passing.sent_at
+            if ticket.passing is passing:
+                latency = passing.latency
+                if status is api.Status.OK:
+                    self._finish(ticket, self.figures.answered, lambda client: client.finish())
+                else:
+                    self._finish_failed(ticket)
+            elif status is api.Status.OK:
                 self._finish(ticket, self.figures.answered, lambda client: client.served(answer))
             self._forget(ticket)
-            self.post(api.Outcome(send.request, number, send.backend, status, self.clock() - now,
-                                  ticket.client is None, report=self._report(answer)))
+            self.post(api.Outcome(send.request, number, send.backend, status, latency, ticket.client is None,
+                                  report=self._report(answer or passing.head),
+                                  is_held=upload is None or upload.held is not None))
 
         def sent() -> None:
-            self.figures.sends[ticket.asked.cls] += 1
+            self.figures.sends[asked.cls] += 1
+            if upload is not None:
+                passing.sent_at = self.clock()  # until now the client took its time, not the backend
+
+        def render() -> bytes:
+            return asked.render(until - self.clock() if until < inf else asked.time_left)
 
-        exchange = Exchange(lambda: ticket.asked.render(until - self.clock()), done, sent)
+        exchange = Exchange(render, done, sent, upload, passing)
         ticket.out[number] = exchange
         if until < ticket.deadline:     # else the request's own timer ends it
-            timer = self.loop.call_later(until - now, exchange.give_up, api.Status.TIMEOUT)
+            passing.timer = self.loop.call_later(until - now, exchange.give_up, api.Status.TIMEOUT)
         self.backends.begin(exchange, send.backend)
 
     def _report(self, answer: Answer | None) -> list[float]:
--- a/fennelpoint/net/server.py
+++ b/fennelpoint/net/server.py
@@ -1,7 +1,8 @@
 """Client connections: reads requests, refuses what can't be trusted, writes each request's one answer.
 
 Requests of one connection are served in turn.  Nothing that is malformed reaches a backend: the parser
-is strict, and what the routing goes by is checked here before the host hears of a request.
+is strict, and what the routing goes by is checked here before the host hears of a request.  A body too large
+to hold goes on as it comes, and so does an answer.
 """
 
 from __future__ import annotations
@@ -11,33 +12,39 @@
 import re
 import select
 import socket
+import struct
 import time
 from collections import deque
+from dataclasses import dataclass
 from functools import lru_cache
 from itertools import takewhile
 
 import httptools
 
 from fennelpoint import interface as api
-from fennelpoint.net.backends import HOP_BY_HOP, Answer
+from fennelpoint.net import flow
+from fennelpoint.net.backends import HOP_BY_HOP, Answer, UpstreamConnection
+from fennelpoint.net.flow import Upload, Waiting
 from fennelpoint.net.host import Asked, Host
 
-MOST_BODY = 64 * 1024   # bytes
 MOST_HEAD = 16 * 1024   # bytes of request line and fields together
-MOST_TAKEN = 8 * MOST_BODY  # bytes of one request as it comes, with framing and trailers
+MOST_TAKEN = 512 * 1024  # bytes of one request as it comes, beyond its body and that one's usual framing
 MOST_WAITING = 16       # requests written behind one another on one connection
 MOST_BEHIND = 64 * 1024  # bytes of their bodies
 MOST_UNREAD = 128 * 1024  # bytes of answers that a client leaves unread before it is served no more
-HEAD_TIMEOUT = 2.5      # s for a request to come whole, from the connect or from its first byte
+HEAD_TIMEOUT = 2.5      # s for a head to come whole, from the connect or its first byte; for a small body
+BODY_SPAN, BODY_LEAST = 2.0, 16 * 1024  # of a large body: in so many s, so many bytes
 IDLE_TIMEOUT = 5.0      # s that a connection may stand with nothing open
 LINGER = 0.5            # s to read on after an error, so that its answer is not lost with a reset
-MOST_DRAINED = 1024 * 1024  # bytes read and dropped meanwhile
+LONG_LINGER = 3.0       # s after an answer that came before its request was whole
+MOST_DRAINED = 1024 * 1024  # bytes read and dropped meanwhile, of what is no request
 YOUNG = 0.25            # s that a new connection has to send its request before it may have to make room
 TURN_AWAY = 1.0         # s after a drain before unused connections are closed: the front turns away meanwhile
 DRAINED_IDLE = 0.5      # s that one has stood unused by then
 MOST_LEFT_MS = 600_000  # ms; a longer wait is not meant
 MOST_CUSTOMER = 1 << 33
 MOST_TERMS = 128        # bytes
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)   # as SO_LINGER
 ID = re.compile(rb"[!-~]{1,128}")
 ACCOUNT = re.compile(rb"account=[0-9a-f]{16}")
 
@@ -66,7 +73,8 @@
         self.plans = {p.name.encode(): i for i, p in enumerate(settings.plans)}
         self.terms = lru_cache(1024)(self._terms)   # few are ever told apart
 
-    def read(self, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]], body: bytes) -> Asked:
+    def read(self, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]],
+             body: bytes | Upload) -> Asked:
         found: dict[bytes, bytes] = {}
         options: set[bytes] = set()     # fields that are for this connection only, by the client's word
         lines = [method + b" " + url + b" HTTP/1.1"]
@@ -90,7 +98,7 @@
         safe = self.settings.classes[cls].effect is api.Effect.SAFE
         if method != (b"GET" if safe else b"POST"):
             raise BadRequest("the method is not the class's")
-        if safe and body:
+        if safe and (isinstance(body, Upload) or body):
             raise BadRequest("a GET has no body here")
         plan = self._known(found, b"api-plan", self.plans)
         left = self._needed(found, b"x-remaining-ms")
@@ -100,11 +108,15 @@
         if len(terms) > MOST_TERMS:
             raise BadRequest("api-terms is too long")
         units, width, first = self.terms(terms)
+        upload = body if isinstance(body, Upload) else None
+        length = len(body) if upload is None else upload.length
         if not safe:
-            lines.append(b"content-length: %d" % len(body))
+            lines.append(b"content-length: %d" % length if length is not None else
+                         b"transfer-encoding: chunked")
         customer = self._customer(self._needed(found, b"cookie"))
         return Asked(txn, cls, plan, customer, int(left) / 1000.0, units, width, first,
-                     found.get(b"x-resent") == b"1", not safe, b"\r\n".join(lines) + b"\r\n", body)
+                     found.get(b"x-resent") == b"1", not safe, b"\r\n".join(lines) + b"\r\n",
+                     body if upload is None else b"", upload)
 
     def _needed(self, found: dict[bytes, bytes], name: bytes) -> bytes:
         if not (value := found.get(name)):
@@ -148,23 +160,41 @@
         return units, width, first
 
 
-class ClientConnection(asyncio.Protocol):
+@dataclass(slots=True, eq=False)
+class Turn:
+    """What is to be answered in its turn: a request, a fault, or the path that asks whether we are ready."""
+
+    what: Asked | BadRequest | bytes
+    keep: bool              # the connection stays after it
+    old: bool = False       # its client knows no chunks
+
+
+class ClientConnection(asyncio.BufferedProtocol):
     """One connection of a client or front."""
 
-    __slots__ = ("server", "transport", "parser", "waiting", "open", "deaf", "keep", "since", "head_size",
-                 "taken", "fresh", "method_url", "headers", "body", "body_size", "in_head", "in_body", "lost",
-                 "choked", "place", "__weakref__")
+    __slots__ = ("server", "budget", "transport", "parser", "waiting", "open", "deaf", "turn", "since",
+                 "head_size", "taken", "fresh", "method_url", "headers", "length", "body", "body_size",
+                 "upload", "uploading", "expects", "in_head", "in_body", "lost", "choked", "reading", "place",
+                 "patience", "source", "passing", "chunked", "framed", "moved", "moved_size", "__weakref__")
 
     def __init__(self, server: Server) -> None:
-        self.server = server
+        self.server, self.budget = server, server.host.backends.budget
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpRequestParser(self)
-        self.waiting: deque[tuple[Asked | BadRequest | bytes, bool]] = deque()
+        self.waiting: deque[Turn] = deque()
         self.open: int | None = None    # the id of the request that is being served
         self.deaf = False               # nothing more is read: an error was found, or the end announced
-        self.keep = True                # the request at hand lets the connection stay
+        self.turn: Turn | None = None   # the request at hand
+        self.uploading: Turn | None = None  # the one whose large body is on its way
         self.lost = False
         self.choked = False             # the client does not read what it was sent
+        self.reading = True
+        self.source: UpstreamConnection | None = None   # of a large answer
+        self.passing: Waiting | None = None     # what waits here of it
+        self.chunked = False            # it goes out in chunks
+        self.framed = True              # its end is told apart from the connection's
+        self.moved, self.moved_size = 0.0, 0    # when a large body last got on, and how far
+        self.patience = LINGER          # s that it is read on once it is told that it is closed
         self.place: dict[ClientConnection, None] | None = None  # the server's line that it stands in
         self.since = time.monotonic()   # when it fell idle, or the request at hand began
         self.in_head = self.in_body = False
@@ -172,6 +202,9 @@
 
     def _begin(self) -> None:
         self.head_size = self.body_size = self.taken = 0
+        self.length: int | None = None
+        self.upload: Upload | None = None
+        self.expects = False            # the client waits to be told to go on
         self.method_url = b""
         self.headers: list[tuple[bytes, bytes]] = []
         self.body: list[bytes] = []
@@ -197,12 +230,35 @@
 
     def resume_writing(self) -> None:
         self.choked = False
+        if self.passing is not None:
+            self._look()
         self._next()
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        size = self.budget.piece()
+        if self.in_body and self.upload is None:
+            size = min(size, max(1, flow.HELD + 1 - self.body_size))    # no more of it is held
+        return self.budget.buffer[:size]
+
+    def buffer_updated(self, count: int) -> None:
+        self.data_received(bytes(self.budget.buffer[:count]))
+
+    def read_on(self, on: bool) -> None:
+        """Whether there is room for more of the body."""
+        if self.reading != on and not self.lost:
+            self.reading = on
+            self._mark()
+            self.transport.resume_reading() if on else self.transport.pause_reading()
+
+    def _mark(self) -> None:
+        """A large body gets on, or it is not its peer that it waits for."""
+        self.moved, self.moved_size = time.monotonic(), self.body_size
+
     def data_received(self, data: bytes) -> None:
         if self.deaf:
             self.taken += len(data)
-            if self.taken > MOST_DRAINED and self.place is self.server.leaving:
+            if (self.taken > (MOST_DRAINED if self.patience == LINGER else flow.MOST_LARGE)
+                    and self.place is self.server.leaving):
                 self.transport.abort()      # the answer is written; the rest is not worth the reading
             return
         self.fresh = False
@@ -217,7 +273,7 @@
             self.taken += len(data)
             if self.in_head and self.taken > MOST_HEAD:
                 self._fault(BadRequest("the head is too long", 431))
-            elif self.taken > MOST_TAKEN:
+            elif self.taken > MOST_TAKEN + flow.FRAMING * self.body_size:
                 self._fault(BadRequest("it has no end", 413))
         if (self.in_head or self.in_body) and self.place is self.server.idle:
             self._stand(self.server.coming)     # its time to come whole runs from now
@@ -233,7 +289,7 @@
         self.method_url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if self.in_body:
+        if self.in_body or self.deaf:
             return      # a trailer: too late to count
         self.head_size += len(name) + len(value)
         self.headers.append((name.lower(), value))
@@ -250,70 +306,129 @@
                 length = value
             elif name == b"transfer-encoding":
                 coding = value
-            elif name == b"expect" and value.lower() == b"100-continue" and self.open is None:
-                self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            elif name == b"expect" and value.lower() == b"100-continue":
+                self.expects = self.parser.get_http_version() == "1.1"
         if coding is not None and (length is not None or coding.lower() != b"chunked"
                                    or self.parser.get_http_version() != "1.1"):
             # Guards against a second request hidden in a body whose end others see elsewhere.
             return self._fault(BadRequest("its framing is ambiguous"))
         if length is not None and (not length.isdigit() or len(length) > 18):
             return self._fault(BadRequest("its length is none"))
-        if length is not None and int(length) > MOST_BODY:
-            self._fault(BadRequest("its body is too large", 413))
+        self.length = int(length) if length is not None else None
+        if self.length is not None and self.length > flow.MOST_LARGE:
+            return self._fault(BadRequest("its body is too large", 413))
+        if self.place is self.server.coming:
+            self._stand(self.server.coming)     # its body has a time of its own
+        self._continue()
+
+    def _continue(self) -> None:
+        """Tell a client that waits for it to send its body, once no other answer is due before."""
+        if self.expects and self.in_body and self.open is None and not (self.waiting or self.deaf):
+            self.expects = False
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         if self.deaf:
             return
         self.body_size += len(body)
-        if self.body_size > MOST_BODY:
+        if self.body_size > flow.MOST_LARGE:
             return self._fault(BadRequest("its body is too large", 413))
+        if self.upload is not None:
+            return self.upload.feed(body)
         self.body.append(body)
+        if self.body_size > flow.HELD:
+            self._begin_upload()
+
+    def _begin_upload(self) -> None:
+        """The body is too large to hold: it goes on as it comes."""
+        if self.budget.full:
+            return self._fault(BadRequest("there is no room for its body now", 503))
+        self.upload = Upload(self.budget, self.length, self.read_on, self.body)
+        self.body = []
+        try:
+            asked = self.server.reader.read(self.parser.get_method(), self.method_url, self.headers,
+                                            self.upload)
+        except BadRequest as fault:
+            self.upload.drop()
+            self.read_on(True)
+            return self._fault(fault)
+        self.uploading = self._wait(Turn(asked, False, self._old()))
+
+    def _old(self) -> bool:
+        return self.parser.get_http_version() == "1.0"
 
     def on_message_complete(self) -> None:
         self.in_body = False
         if self.deaf:
             return
         keep, method = self.parser.should_keep_alive(), self.parser.get_method()
-        if self.method_url == b"/ready" and method == b"GET":
-            self.waiting.append((b"/ready", keep))
+        if self.upload is not None:
+            turn, self.uploading = self.uploading, None
+            turn.keep = keep    # until now an answer would have been the last
+            self.server.flowing.discard(self)
+            self.upload.end()
+        elif self.method_url == b"/ready" and method == b"GET":
+            self._wait(Turn(b"/ready", keep))
         else:
             try:
                 asked = self.server.reader.read(method, self.method_url, self.headers, b"".join(self.body))
             except BadRequest as fault:
                 return self._fault(fault)
-            self.waiting.append((asked, keep))
+            self._wait(Turn(asked, keep, self._old()))
+
+    def _wait(self, turn: Turn) -> Turn:
+        """It is served in its turn."""
+        self.waiting.append(turn)
         if self.open is None and len(self.waiting) <= 1:
-            return      # the usual client: one at a time
-        behind = sum(len(asked.body) for asked, _ in self.waiting if isinstance(asked, Asked))
+            return turn     # the usual client: one at a time
+        behind = sum(len(t.what.body) for t in self.waiting if isinstance(t.what, Asked))
         if len(self.waiting) > MOST_WAITING or behind > MOST_BEHIND:
             self.waiting.pop()
             self._fault(BadRequest("too many requests at once"))
+        return turn
 
     def _fault(self, fault: BadRequest) -> None:
-        if not self.deaf:
-            self.deaf = True
-            self.waiting.append((fault, False))
+        if self.deaf:
+            return
+        self.deaf = True
+        if (turn := self.uploading) is not None:
+            # Its request is no request: what a backend has of it is not whole, and will never be.
+            self.uploading = None
+            turn.what.upload.drop()
+            self.server.flowing.discard(self)
+            self.read_on(True)
+            if turn in self.waiting:
+                self.waiting.remove(turn)
+            elif turn is self.turn and self.open is not None:
+                request, self.open = self.open, None
+                self.server.host.gone(request)
+        self.waiting.append(Turn(fault, False))
 
     # Answers
 
     def _next(self) -> None:
         """Serve the next request, once the one before has its answer."""
         while self.waiting and self.open is None and not (self.lost or self.choked):
-            what, self.keep = self.waiting.popleft()
+            self.turn = self.waiting.popleft()
+            what = self.turn.what
             if isinstance(what, BadRequest):
                 self._write(what.status, (), f"{what}\n".encode(), keep=False)
             elif isinstance(what, bytes):
-                ready = self.server.ready
-                self._write(200 if ready else 503, (), b"ready\n" if ready else b"not ready\n", self.keep)
+                status, text = (200, b"ready\n") if self.server.ready else (503, b"not ready\n")
+                self._write(status, (), text, self.turn.keep)
             elif self.server.host.is_open(what.txn):
                 # Guards against a second copy in another's name: an id is new with every request.
                 self.server.host.figures.errored[what.cls] += 1
                 self._write(409, (), b"this id is open\n", keep=False)
             else:
                 self._stand(None)
+                if self.turn is self.uploading:
+                    self.server.flowing.add(self)
+                    self._mark()
                 self.open = -1      # in case the answer comes before the id is known
                 request = self.server.host.admit(self, what)
                 self.open = request if self.open == -1 else self.open
+        self._continue()
 
     def served(self, answer: Answer) -> None:
         self._answer(200, [f for f in answer.headers if f[0] not in HOP_BY_HOP], answer.body)
@@ -328,10 +443,79 @@
     def _answer(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
         self.open = None
         if not self.lost:
-            self._write(status, headers, body, self.keep)
-            if self.waiting:
-                # Not at once: a line of requests that are refused in turn would nest ever deeper.
-                self.server.loop.call_soon(self._next)
+            self._write(status, headers, body, self.turn.keep)
+            self._then()
+
+    def _then(self) -> None:
+        if self.waiting:
+            # Not at once: a line of requests that are refused in turn would nest ever deeper.
+            self.server.loop.call_soon(self._next)
+        self._continue()
+
+    # A large answer, as it comes.
+
+    def begin(self, answer: Answer, length: int | None, source: UpstreamConnection) -> None:
+        self.source, self.passing = source, Waiting(self.budget, self.transport)
+        self.chunked = length is None and not self.turn.old
+        self.framed = self.chunked or length is not None
+        if self.server.draining or not self.framed:
+            self.turn.keep = False      # where no length can be told, the end is the connection's
+        lines = [b"HTTP/1.1 200 OK"]
+        lines += [name + b": " + value for name, value in answer.headers if name not in HOP_BY_HOP]
+        if self.chunked:
+            lines.append(b"transfer-encoding: chunked")
+        elif length is not None:
+            lines.append(b"content-length: %d" % length)
+        if not self.turn.keep:
+            lines.append(b"connection: close")
+        self.server.flowing.add(self)
+        self._mark()
+        self.transport.set_write_buffer_limits(high=0)      # what waits is counted to the byte
+        self.transport.write(b"\r\n".join(lines) + b"\r\n\r\n")
+        self.piece(answer.body)
+
+    def piece(self, data: bytes) -> None:
+        if not self.lost:
+            self.transport.write(b"%x\r\n%b\r\n" % (len(data), data) if self.chunked else data)
+            self._look()
+
+    def _look(self) -> None:
+        """Read on from the backend where little waits here."""
+        before, waits = self.passing.size, self.passing.look()
+        if waits < before or not self.choked:
+            self._mark()
+        self.source.read_on(waits <= self.budget.mark() or not self.choked)
+
+    def finish(self) -> None:
+        if not self.lost:
+            if self.chunked:
+                self.transport.write(b"0\r\n\r\n")
+            keep = self.turn.keep and not self.server.draining and not self.deaf
+            self._leave_answer()
+            self._settle(keep)
+            self._then()
+
+    def broken(self) -> None:
+        """The rest of the answer won't come: the client sees that it ends too soon."""
+        if not self.lost:
+            self._leave_answer()
+            if not self.framed:
+                # A close alone might be the end of it: only a reset tells that it is not.
+                self.transport.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+                return self.transport.abort()
+            self.deaf = True
+            self.waiting.clear()
+            self._stand(self.server.leaving)
+            self.transport.close()
+
+    def _leave_answer(self) -> None:
+        self.open = None
+        if self.passing is not None:
+            self.passing.end()
+            self.passing = self.source = None
+            self.server.flowing.discard(self)
+            self.transport.set_write_buffer_limits(high=MOST_UNREAD)
 
     def _write(self, status: int, headers, body: bytes, keep: bool) -> None:
         keep = keep and not self.server.draining
@@ -341,6 +525,10 @@
         if not keep:
             lines.append(b"connection: close")
         self.transport.write(b"\r\n".join(lines) + b"\r\n\r\n" + body)
+        self._settle(keep)
+
+    def _settle(self, keep: bool) -> None:
+        """An answer is written: wait for the next request, or leave."""
         if keep:
             self._stand(self.server.coming if self.in_head or self.in_body else self.server.idle)
         else:
@@ -352,6 +540,10 @@
         Guards the answer: closing with unread bytes would reset the connection and take it along.
         """
         self.deaf, self.taken = True, 0
+        if self.uploading is not None:      # what it still sends is dropped
+            self.uploading, self.patience = None, LONG_LINGER
+            self.server.flowing.discard(self)
+        self.read_on(True)
         self.waiting.clear()
         self.headers, self.body = [], []
         self._stand(self.server.leaving)
@@ -365,7 +557,14 @@
     def connection_lost(self, error: Exception | None) -> None:
         self.lost = self.deaf = True
         self.server.connections.discard(self)
+        self.server.flowing.discard(self)
         self._stand(None)
+        for turn in self.waiting:   # what is at hand, the host drops
+            if isinstance(turn.what, Asked) and turn.what.upload is not None:
+                turn.what.upload.drop()
+        if self.passing is not None:
+            self.passing.end()
+            self.passing = self.source = None
         if self.open is not None and self.open > 0:
             self.server.host.gone(self.open)
         self.open = None
@@ -383,6 +582,8 @@
 
     def overdue(self) -> None:
         """A request that doesn't come whole is told off; nobody waits for one that never began."""
+        if self.place is self.server.leaving and time.monotonic() - self.since < self.patience:
+            return
         if self.choked or self.deaf:
             self.transport.abort()      # it does not read, so there is no telling it
         elif not (self.in_head or self.in_body):
@@ -392,6 +593,20 @@
             self._next()
 
 
+    def check(self, now: float) -> None:
+        """A large body that does not get on: its peer is given up, unless it is we who don't read."""
+        if self.passing is not None:
+            self._look()
+            if now - self.moved > flow.STALLED:
+                self.transport.abort()
+        elif self.uploading is not None:
+            if not self.reading or self.body_size - self.moved_size >= BODY_LEAST:
+                self._mark()
+            elif now - self.moved > BODY_SPAN:
+                self._fault(BadRequest("it has not come whole in time", 408))
+                self._next()
+
+
 class Server:
     """The listening socket and its connections."""
 
@@ -403,6 +618,7 @@
         self.coming: dict[ClientConnection, None] = {}   # new, or a request has begun to come
         self.idle: dict[ClientConnection, None] = {}     # answered, and kept
         self.leaving: dict[ClientConnection, None] = {}  # told that they are closed
+        self.flowing: set[ClientConnection] = set()     # with a large body on its way
         self.stopping = False   # the process is about to end
         self.drained_at: float | None = None    # when operators sent the clients away
         self.listener: asyncio.Server | None = None
@@ -440,6 +656,8 @@
 
     def sweep(self) -> None:
         now = time.monotonic()
+        for connection in list(self.flowing):
+            connection.check(now)
         for line, most in ((self.coming, HEAD_TIMEOUT), (self.idle, IDLE_TIMEOUT), (self.leaving, LINGER)):
             for connection in list(takewhile(lambda c: c.since < now - most, line)):  # noqa: B023
                 connection.overdue()
--- a/fennelpoint/state.py
+++ b/fennelpoint/state.py
@@ -90,6 +90,7 @@
     last: float = 0.0               # when it is ended if it still waits
     picked: list[Backend] | None = None  # backends probed for it
     draw_at: float = 0.0            # when it may draw a cold backend again
+    begun_at: float | None = None   # when its large answer began to go out
 
 
 @dataclass(slots=True, eq=False)
--- a/fennelpoint/upkeep.py
+++ b/fennelpoint/upkeep.py
@@ -132,11 +132,24 @@
         t.customer.open += 1
         self.out += 1
 
+    def begin(self, b: Backend, request: int) -> None:
+        """Its large answer goes out: the backend's work is done, while the customer has it open still."""
+        work, sent, aim, customer = b.out[request]
+        if sent < inf:
+            b.out[request] = (0.0, inf, aim, customer)
+            b.load = max(0.0, b.load - work)
+            self.out -= 1
+
+    def restart(self, b: Backend, request: int, now: float) -> None:
+        """Its request has only now come whole: it is as old as that."""
+        work, _, aim, customer = b.out[request]
+        b.out[request] = (work, now, aim, customer)
+
     def answer(self, b: Backend, request: int) -> None:
         """An attempt is not out any more, also where the client has left meanwhile."""
-        work, _, _, customer = b.out.pop(request)
+        work, sent, _, customer = b.out.pop(request)
         customer.open -= 1
-        self.out -= 1
+        self.out -= sent < inf
         b.load = max(0.0, b.load - work) if b.out else 0.0
         if not b.out:
             self.busy.pop(b.entry.backend, None)
@@ -148,7 +161,8 @@
 
     def ages(self, now: float) -> list[float]:
         """How long each attempt is out, over its class's aim."""
-        return [(now - sent) / aim for b in self.busy.values() for _, sent, aim, _ in b.out.values()]
+        return [(now - sent) / aim for b in self.busy.values() for _, sent, aim, _ in b.out.values()
+                if sent < inf]
 
 
 class Sums:
