--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -107,6 +107,10 @@
         listed = self.fleet.listed()
         return len(listed), sum(not b.usable or now < b.rest_until for b in listed)
 
+    def _most_out(self, share: float = 1.0) -> float:
+        """How many attempts may be out here, of the window that all processes of this ingress have."""
+        return max(1.0, self.window * self.part * share)
+
     def _take_part(self, part: float, now: float) -> None:
         """Share the allowances with another process as if each customer's set were so much wider.
 
@@ -322,7 +326,7 @@
             kept = KEPT_BACK * plan.ceiling_burst / c.width
             if not inside and plan.ceiling_rate and c.ceiling < units + kept:
                 return False
-        full = now < self.rest_until or self.fleet.out >= max(1.0, self.window * (1.0 if inside else SPARE))
+        full = now < self.rest_until or self.fleet.out >= self._most_out(1.0 if inside else SPARE)
         if full or (b := self._choose(t, now)) is None:
             return False
         if not t.charged:
@@ -374,7 +378,7 @@
         soonest = inf
         for t in self.line.by_worth():
             # Once as much is out as may be, the rest needn't ask: guards the CPU with a long line.
-            if now >= t.not_before and self.fleet.out < max(1.0, self.window) and self._place(t, now):
+            if now >= t.not_before and self.fleet.out < self._most_out() and self._place(t, now):
                 continue
             if now >= t.last:
                 t.customer.ratios.append(1.0)
@@ -542,7 +546,7 @@
         """More attempts may be out while little of the aim is lost to crowding; under one, we rest."""
         # Counts what comes very late as one aim: guards against a few stalled backends that stop us all.
         self.pressure += LEARN * (min(1.0, ratio) - self.pressure)
-        if self.pressure <= TARGET and self.fleet.out + 1 >= self.window:
+        if self.pressure <= TARGET and self.fleet.out + 1 >= self.window * self.part:
             self.window += min(self.window, 1.0 / self.window)
         elif self.pressure > TARGET and now - self.cut_at > latency:
             self.window, self.cut_at = max(LEAST_OUT, self.window * WINDOW_CUT), now
--- a/fennelpoint/net/backends.py
+++ b/fennelpoint/net/backends.py
@@ -496,8 +496,8 @@
 
         Also what is too much, where the bound was lowered meanwhile.
         """
-        while len(self.all) > self.most and self._evict():
-            pass
+        for _ in range(len(self.all) - self.most):  # those that are closed leave a moment later
+            self._evict()
         now = time.monotonic()
         for connection in list(self.flowing):
             connection.overdue(now)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -126,6 +126,17 @@
     assert customer.level == level and customer.width == 2.0 and customer.share == 0.5
 
 
+def test_attempts_out_at_once_are_split_too():
+    def out(part: float) -> int:
+        world = World(make_settings(has_counter=False))
+        world.backends("a", "b")
+        world.give(api.Part(part))
+        world.control.window = 12.0
+        return sum(isinstance(a, api.Send) for i in range(30) for a in world.ask(SAFE, customer=100 + i))
+
+    assert (out(1.0), out(0.75), out(0.25)) == (12, 9, 3)
+
+
 # The program, started a second time beside itself.
 
 
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -236,6 +236,20 @@
     run(play())
 
 
+def test_bound_that_is_lowered_closes_only_what_is_too_much():
+    async def play() -> None:
+        async with world(Backend(delay=0.05)) as made:
+            await asyncio.gather(*(ask(made, request()) for _ in range(6)))
+            pool = made.ingress.backends
+            assert len(pool.all) == len(pool.upstreams["s-0"].idle) == 6
+            pool.most = 4
+            pool.sweep()
+            await until(lambda: len(pool.all) == 4)
+            assert len(pool.upstreams["s-0"].idle) == 4
+
+    run(play())
+
+
 @pytest.mark.parametrize("data", [b"[" * 60_000, b'{"util": NaN}', b'{"util": 1e999}', b"\xff", b"", b"3"])
 def test_load_report_that_cannot_be_read_is_none(data):
     assert load_report(data, ["util"]) == []
