--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -462,13 +462,14 @@
             able = able or [b for b in pool if b.usable and now >= b.rest_until]
         lots = sorted((self.random.expovariate(max(b.entry.weight, 1e-3)), i) for i, b in enumerate(able))
         # Guards against pushing over cold backends, as a sum over all ingresses: a cold one is sent a try
-        # only by a draw by weight, won as seldom as it is cold, and once in half an aim for each try.
+        # only by a draw by weight, won as seldom as it is cold, and once in half an aim for each try.  Where
+        # no other is warm, more seldom, as what loses draws again.
+        costs = sorted((self._cost(able[i], lot, t, now), i) for lot, i in lots
+                       if self._cold_share(able[i], now) >= 1.0)
         if lots and now >= t.draw_at and (share := self._cold_share(able[lots[0][1]], now)) < 1.0:
             t.draw_at = now + cls.aim / 2
-            if self.random.random() < share ** COLD_CAUTION:
+            if self.random.random() < (share if costs else share ** COLD_CAUTION):
                 return able[lots[0][1]]
-        costs = sorted((self._cost(able[i], lot, t, now), i) for lot, i in lots
-                       if self._cold_share(able[i], now) >= 1.0)
         if not self.probes or t.picked is not None or not costs:
             return able[costs[0][1]] if costs else None
         t.picked, t.not_before = [able[i] for _, i in costs[:PROBES]], now + PROBE_WAIT
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -1,6 +1,6 @@
 """The choice of a backend by what is known of each."""
 
-from conftest import SAFE, World, make_settings
+from conftest import READY, SAFE, World, make_settings
 
 from fennelpoint import interface as api
 
@@ -31,3 +31,24 @@
     chosen = [sent_to(world.ask(SAFE, customer=i))[0] for i in range(6)]
     # The other three read the same: with three of ours it has about twelve, more than the other's eight.
     assert chosen[0] == "a" and "b" in chosen
+
+
+def test_cold_backend_gets_its_share_while_others_are_warm_and_less_where_none_is():
+    """Drawn more seldom, cold ones stood idle while the warm ones were crowded."""
+    def drawn(*started: float) -> dict[str, int]:
+        world = World(make_settings(has_counter=False))
+        world.roster(*(api.BackendEntry(name, READY, started_at=at)
+                       for name, at in zip("ab", started, strict=True)))
+        to = {"a": 0, "b": 0, "none": 0}
+        for customer in range(1000):
+            sends = [a for a in world.ask(customer=customer) if isinstance(a, api.Send)]
+            to[sends[0].backend if sends else "none"] += 1
+            if sends:
+                world.answer(sends[0].request, sends[0].backend, latency=0.05)
+        return to
+
+    half = 100.0 - 10.0 * (0.5 - 0.2) / 0.8     # a ramp of 10 s from a fifth
+    beside = drawn(half, 0.0)
+    assert beside["none"] == 0 and 215 < beside["a"] < 285
+    alone = drawn(half, half)
+    assert 290 < alone["a"] + alone["b"] < 420
