--- a/fennelpoint/net/handover.py
+++ b/fennelpoint/net/handover.py
@@ -52,8 +52,12 @@
             log.warning("no other process will see this one: %s", error)
 
     def say(self, state: State) -> None:
-        if self.lock is not None:
+        if self.lock is None:
+            return
+        try:
             os.pwrite(self.lock, state.value.encode(), 0)
+        except OSError as error:    # a stop goes on whatever becomes of its file
+            log.warning("other processes will not see that this one %s: %s", state.name.lower(), error)
 
     def others(self) -> list[State]:
         """What the other living processes of this ingress are about."""
