Count a menu server put back as warm as the start told during its ban allows

It counted as started when it was put back, also where the list had told of its restart seconds before; until the list tells, it still does.

--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -83,7 +83,7 @@
         self.on = {api.Request: self._admit, api.Outcome: self._outcome, api.Roster: self._roster,
                    api.ProbeResult: self._probed, api.TimerDue: self._timer, api.CounterReply: self._counted,
                    api.ClientGone: lambda event, now: self.line.end(event.request),
-                   api.Withdraw: lambda event, now: self.fleet.withdraw(event.backend),
+                   api.Withdraw: lambda event, now: self.fleet.withdraw(event.backend, now),
                    api.Restore: lambda event, now: self._restore(event.backend, now),
                    api.BodyWhole: lambda event, now: self._body_whole(event.request, now),
                    api.StreamStarted: self._begun,
--- a/fennelpoint/state.py
+++ b/fennelpoint/state.py
@@ -24,7 +24,7 @@
     failed_at: float = -1e9  # when the last of them ended; what was sent before tells no more
     rest_until: float = 0.0 # nothing is sent before
     withdrawn: bool = False # by an operator
-    restored_at: float = 0.0  # when an operator put it back: it counts as started then
+    restored_at: float = 0.0  # it counts as started then, as an operator put it back
 
     @property
     def usable(self) -> bool:
--- a/fennelpoint/upkeep.py
+++ b/fennelpoint/upkeep.py
@@ -74,7 +74,7 @@
         self.out = 0                            # attempts out at all of them
         self.probing: dict[object, list[Try]] = {}  # tries that wait for a backend's own word
         self.named: dict[object, None] = {}     # ids of all lists so far, the last named last
-        self.withdrawn: set[object] = set()     # ids that operators took out, in the list or not
+        self.withdrawn: dict[object, float] = {}  # ids that operators took out, in the list or not, and when
         self.restored: dict[object, float] = {}  # and when they put one back
 
     def follow(self, roster: api.Roster, random: Random, now: float) -> None:
@@ -107,20 +107,24 @@
     def _arrange(self) -> None:
         self.ready = sorted((b for b in self.known.values() if b.usable), key=lambda b: b.rank)
 
-    def withdraw(self, name: object) -> None:
-        self.withdrawn.add(name)
+    def withdraw(self, name: object, now: float) -> None:
+        self.withdrawn.setdefault(name, now)
         if (b := self.known.get(name)) is not None:
             b.withdrawn = True
             self._arrange()
 
     def restore(self, name: object, now: float) -> None:
-        """Back in use, with nothing held against it; one that was not out stays as it is."""
-        if name not in self.withdrawn:
+        """Back in use, with nothing held against it; one that was not out stays as it is.
+
+        It counts as started now, unless the list has told of a start since it was taken out.
+        """
+        if (since := self.withdrawn.pop(name, None)) is None:
             return
-        self.withdrawn.discard(name)
-        self.restored[name] = now
-        if (b := self.known.get(name)) is not None:
-            b.withdrawn, b.restored_at, b.rest_until, b.fails, b.slow = False, now, 0.0, 0, 1.0
+        b = self.known.get(name)
+        self.restored[name] = now if b is None or b.entry.started_at <= since else b.entry.started_at
+        if b is not None:
+            b.withdrawn, b.restored_at = False, self.restored[name]
+            b.rest_until, b.fails, b.slow = 0.0, 0, 1.0
             self._arrange()
 
     def listed(self) -> list[Backend]:
--- a/tests/test_bans.py
+++ b/tests/test_bans.py
@@ -53,6 +53,16 @@
     assert world.control._cold_share(world.control.fleet.known["a"], world.now) == world.settings.cold_share
 
 
+def test_start_that_the_list_told_of_meanwhile_is_where_the_ramp_begins(world):
+    world.give(api.Withdraw("a"))
+    world.wait(2.0)
+    world.roster(api.BackendEntry("a", READY, started_at=world.now), kind=api.RosterKind.CHANGES)
+    world.wait(5.0)
+    world.give(api.Restore("a"))
+    share = world.control._cold_share(world.control.fleet.known["a"], world.now)
+    assert share == pytest.approx(0.2 + 0.8 * 0.5)
+
+
 def test_put_back_without_a_ban_it_stays_warm(world):
     world.give(api.Restore("a"))
     assert world.control._cold_share(world.control.fleet.known["a"], world.now) == 1.0
