Count a request as current from its last byte on, not while its body comes

app_current told of large requests from their first 64 KiB on, while a request is taken with its last byte.

--- a/fennelpoint/net/host.py
+++ b/fennelpoint/net/host.py
@@ -83,6 +83,7 @@
     attempts: int = 0
     out: dict[int, Exchange] = field(default_factory=dict)
     passing: Passing | None = None  # its large answer, on the way to the client
+    coming: bool = False    # its body is on its way still
 
 
 @dataclass(slots=True, eq=False)
@@ -123,6 +124,7 @@
         self.tickets: dict[int, Ticket] = {}
         self.open_ids: set[bytes] = set()   # of the tickets, as the clients named them
         self.waiting = 0        # requests without an answer yet
+        self.coming = 0         # those among them that have not come whole
         self.last_id = 0
         self.part = 1.0         # of the ingress's allowances that this process may use
         self.ready = False      # whether there is a list to go by
@@ -201,16 +203,18 @@
             self.post(api.Part(part))
 
     def render_figures(self) -> bytes:
-        return self.figures.render(self.waiting, *self.controller.cluster(self.clock()))
+        # A request is taken with its last byte.
+        return self.figures.render(self.waiting - self.coming, *self.controller.cluster(self.clock()))
 
     def admit(self, client: Client, asked: Asked) -> int:
         """Take a request whose last byte has come; its id, for `gone`."""
         self.last_id += 1
         coming = asked.upload is not None and not asked.upload.whole
-        ticket = Ticket(self.last_id, asked, client, inf)
+        ticket = Ticket(self.last_id, asked, client, inf, coming=coming)
         self.tickets[ticket.id] = ticket
         self.open_ids.add(asked.txn)
         self.waiting += 1
+        self.coming += coming
         if coming:
             asked.upload.on_whole = lambda: self._whole(ticket)
         else:
@@ -226,9 +230,15 @@
 
     def _whole(self, ticket: Ticket) -> None:
         if ticket.client is not None:
+            self._come(ticket)
             self._time(ticket)
             self.post(api.BodyWhole(ticket.id))
 
+    def _come(self, ticket: Ticket) -> None:
+        """Nothing more of it is waited for."""
+        self.coming -= ticket.coming
+        ticket.coming = False
+
     def is_open(self, txn: bytes) -> bool:
         """Whether a request of this id has no answer yet, or may still be with a backend."""
         return txn in self.open_ids
@@ -249,6 +259,7 @@
         client, ticket.client = ticket.client, None
         if client is not None:
             self.waiting -= 1
+            self._come(ticket)
             if counts is not None:
                 counts[ticket.asked.cls] += 1
             if ticket.asked.upload is not None:
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -290,12 +290,16 @@
                 some.clear()
                 writer.write(data[:150_000])
                 await some.wait()   # while the client has not sent all of it
+                host = made.ingress.host
+                assert (host.waiting, host.coming) == (1, 1)    # not taken yet
+                assert b"\napp_current 0\n" in host.render_figures()
                 writer.write(data[150_000:])
                 assert (await read_message(reader))[2] == b"yes"
             writer.close()
             assert got == [LARGE] * 2 and made.backends[0].opened == 1
             assert made.ingress.backends.budget.used == 0 and not made.ingress.server.flowing
             assert made.ingress.host.figures.sends == [0, 2] and not made.ingress.host.tickets
+            assert made.ingress.host.coming == made.ingress.host.waiting == 0
 
     run(play())
 
@@ -397,7 +401,7 @@
             await broke.wait()
             writer.close()
             await until(lambda: not made.ingress.host.tickets and made.ingress.backends.budget.used == 0)
-            assert made.ingress.host.figures.sends == [0, 0]
+            assert made.ingress.host.figures.sends == [0, 0] and made.ingress.host.coming == 0
 
     run(play())
 
