Spread the fleet's calls for lists, so that one overbooked discovery serves them all

The module went by the list of the start while the servers were replaced: 100 to 200 attempts a second could not connect, and 200 were turned away.

Cause, net/discovery.py: at its start each ingress asked for the whole list though it knew one, then for a watch of 2 s; after a failure it asked again within 1 s, in step with the others. New watches cost the service 0.15 to 0.5 s each and it goes on with those it has failed, so that at over about five a second none is served in time.

Now a known list is watched from its revision. Where the settings say that discovery is asked, first calls are spread at a quarter of a second for each ingress, holds last as long as the settings have asks apart, back-offs grow to four times that, and all is jittered from the ingress's seed. With an agent, and in a small fleet, waits are as short as before. The known list will do after 0.25 s, as there may be no call in flight to wait for.

--- a/fennelpoint/__main__.py
+++ b/fennelpoint/__main__.py
@@ -30,7 +30,7 @@
 from fennelpoint.settings import from_json
 
 SWEEP = 0.25            # s between looks at idle connections
-LIST_WAIT = 1.0         # s for discovery to answer before the list known from before will do
+LIST_WAIT = 0.25        # s for discovery to answer before the list known from before will do
 ACCEPT_ON = 0.5         # s that connections are still taken after SIGTERM: the front learns late
 LONGEST_STOP, STOP_SLACK = 3.0, 0.4  # s after SIGTERM by which all is answered: the longest deadline, this at
                         # most, and the slack; SIGKILL comes 0.3 s later
@@ -142,7 +142,7 @@
         self.counter = Counter(loop, *config.counter, settings.counter_timeout) if (
             config.counter is not None and settings.has_counter) else None
         self.host = Host(loop, settings, config.seed, self.backends, self.counter)
-        self.discovery = Discovery(loop, config.discovery, settings, self.follow)
+        self.discovery = Discovery(loop, config.discovery, settings, self.follow, config.seed)
         self.coming: Discovery | None = None    # a new discovery that has not told its list yet
         self.server = Server(loop, self.host, clients)
         self.operators = Operators(loop, self) if config.mgmt is not None else None
@@ -206,7 +206,7 @@
 
     def follow(self, roster: api.Roster, addresses: dict[str, Address]) -> None:
         self.host.follow(roster, addresses)
-        if roster.kind is api.RosterKind.FULL:
+        if roster.kind is not api.RosterKind.CACHED:
             self._set_ready()
 
     # What operators may ask for.
@@ -261,7 +261,8 @@
         if config.discovery != self.discovery.address:
             # Guards against a gap in the watch: the old one goes on until the new one's list is here.  The
             # new one has revisions of its own, so it is asked for the whole of it.
-            self.coming = Discovery(self.loop, config.discovery, self.config.settings, self._go_over)
+            self.coming = Discovery(self.loop, config.discovery, self.config.settings, self._go_over,
+                                    self.config.seed)
             self.coming.known = self.discovery.known
             self.coming.start()
 
--- a/fennelpoint/net/discovery.py
+++ b/fennelpoint/net/discovery.py
@@ -10,6 +10,7 @@
 import math
 from collections.abc import Callable
 from dataclasses import dataclass
+from random import Random
 
 import httptools
 
@@ -19,6 +20,9 @@
 HOLD = 2.0              # s that a watch may wait: short, so that a dead connection is noticed soon
 SLACK = 1.0             # s over that until the answer is given up; for one that needn't wait, all there is
 BACKOFF, BACKOFF_MOST = 0.1, 1.0  # s before asking again after a failure, doubling up to
+JITTER = (0.5, 1.0)     # of a wait: between these at random, so that ingresses don't call in step
+APART = 0.25            # s between two calls of the fleet, where one discovery serves all
+ASKED_ANEW = 4          # times the time between asks that a failed call counts for
 MOST_LIST = 8 * 1024 * 1024  # bytes of a list
 STATES = {"up": api.BackendState.READY, "draining": api.BackendState.DRAINING,
           "removed": api.BackendState.GONE}
@@ -113,11 +117,19 @@
     """The watch on discovery, over one connection at a time."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, address: Address, settings: api.Settings,
-                 follow: Callable[[api.Roster, dict[str, Address]], None]) -> None:
+                 follow: Callable[[api.Roster, dict[str, Address]], None], seed: int) -> None:
         self.loop, self.address, self.settings, self.follow = loop, address, settings, follow
+        self.random, self.hold, self.patience, self.first_in = Random(seed), HOLD, SLACK, 0.0
+        self.backoff_least, self.backoff_most = BACKOFF, BACKOFF_MOST
+        if settings.discovery == "ask":
+            # Each new watch is work for the one discovery of the whole fleet, which also goes on with calls
+            # that it has failed: once more come than it does, none is served any more.
+            self.first_in = self.backoff_least = settings.ingresses * APART
+            self.hold, self.patience = max(HOLD, settings.ask_every), HOLD + SLACK
+            self.backoff_most = max(BACKOFF_MOST, self.first_in, ASKED_ANEW * settings.ask_every)
         self.known: dict[str, Address] = {}
         self.revision: int | None = None    # of the last list from discovery itself
-        self.backoff = BACKOFF
+        self.backoff = self.backoff_least
         self.stopped = False
         self.transport: asyncio.Transport | None = None
         self.connecting: asyncio.Task | None = None
@@ -127,7 +139,9 @@
         self.complete = self.keep = False
 
     def start(self) -> None:
-        self._ask()
+        """Begin to ask: soon where a list is known that will do until an answer comes, else at once."""
+        wait = self.first_in * self.random.random() if self.revision is not None else 0.0
+        self.timer = self.loop.call_later(wait, self._ask)
 
     def stop(self) -> None:
         self.stopped = True
@@ -135,6 +149,8 @@
 
     def take(self, listing: Listing) -> None:
         """Keep to a list, and tell of it."""
+        if listing.roster.kind is api.RosterKind.CACHED:
+            self.revision = listing.roster.version
         if listing.roster.kind is not api.RosterKind.CHANGES:
             self.known = {}
         for entry in listing.roster.entries:
@@ -160,8 +176,8 @@
             return
         if self.timer is not None:
             self.timer.cancel()
-        wait = HOLD if self.revision is not None else 0.0
-        self.timer = self.loop.call_later(wait + SLACK, self._failed, "does not answer")
+        wait = self.hold * self.random.uniform(*JITTER) if self.revision is not None else 0.0
+        self.timer = self.loop.call_later(wait + self.patience, self._failed, "does not answer")
         if self.transport is None:
             task = self.connecting = self.loop.create_task(
                 self.loop.create_connection(lambda: self, *self.address))
@@ -169,7 +185,7 @@
             return
         self.body, self.size, self.complete = [], 0, False
         self.parser = httptools.HttpResponseParser(self)
-        query = f"?from={self.revision}&hold_ms={HOLD * 1000:.0f}" if self.revision is not None else ""
+        query = f"?from={self.revision}&hold_ms={wait * 1000:.0f}" if self.revision is not None else ""
         self.transport.write(f"GET /v1/endpoints{query} HTTP/1.1\r\nHost: discovery\r\n\r\n".encode())
 
     def _connected(self, task: asyncio.Task) -> None:
@@ -185,8 +201,8 @@
             return
         complain("discovery", "%s", what)
         self._drop()
-        self.timer = self.loop.call_later(self.backoff, self._ask)
-        self.backoff = min(BACKOFF_MOST, 2 * self.backoff)
+        self.timer = self.loop.call_later(self.backoff * self.random.uniform(*JITTER), self._ask)
+        self.backoff = min(self.backoff_most, 2 * self.backoff)
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.connecting, self.transport = None, transport
@@ -222,7 +238,7 @@
         if listing.roster.kind is api.RosterKind.CHANGES and self.revision is None:
             return self._failed("told changes where the whole list was asked for")
         news = listing.roster.kind is api.RosterKind.FULL or listing.roster.entries
-        self.revision, self.backoff = listing.roster.version, BACKOFF
+        self.revision, self.backoff = listing.roster.version, self.backoff_least
         if not self.keep:
             transport, self.transport = self.transport, None
             transport.abort()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -56,13 +56,16 @@
 class Follow:
     """A watch against a scripted service."""
 
-    def __init__(self, handle) -> None:
-        self.fake, self.told = Fake(handle), []
+    def __init__(self, handle, known=None) -> None:
+        self.fake, self.told, self.known = Fake(handle), [], known
 
     async def __aenter__(self):
         address = parse_address(await self.fake.start(), "here")
         self.watch = Discovery(asyncio.get_running_loop(), address, from_json(SETTINGS),
-                               lambda roster, addresses: self.told.append(roster))
+                               lambda roster, addresses: self.told.append(roster), seed=1)
+        if self.known is not None:
+            self.known.roster.kind = RosterKind.CACHED
+            self.watch.take(self.known)
         self.watch.start()
         return self
 
@@ -93,6 +96,72 @@
     run(play())
 
 
+def test_list_known_at_the_start_is_watched_from_its_version_and_not_asked_for_anew():
+    async def play() -> None:
+        lines = []
+
+        async def handle(reader, writer):
+            lines.append((await read_message(reader))[0])
+            writer.write(ok(json.dumps(listing(member("b", ADDRESS), revision=8, complete=False)).encode()))
+            lines.append((await read_message(reader))[0])
+            await reader.read()
+
+        async with Follow(handle, parse_list(listing(member("a", ADDRESS), revision=7),
+                                             from_json(SETTINGS))) as f:
+            await until(lambda: len(lines) == 2)
+            assert [line.split()[1].partition("&")[0] for line in lines] == [
+                "/v1/endpoints?from=7", "/v1/endpoints?from=8"]
+            assert [r.kind for r in f.told] == [RosterKind.CACHED, RosterKind.CHANGES]
+
+    run(play())
+
+
+class Waits:
+    """In place of a loop: how long each call is put off."""
+
+    def __init__(self) -> None:
+        self.waits = []
+
+    def call_later(self, wait, *_):
+        self.waits.append(wait)
+        return self
+
+    def cancel(self) -> None:
+        pass
+
+
+def waits_of_fleet(ingresses: int, ask_every: float) -> tuple[list[float], list[list[float]]]:
+    """When each of a fleet that starts at once asks first, and how long it waits after each failure."""
+    firsts, failed = [], []
+    settings = from_json({**SETTINGS, "balancers": ingresses, "discovery": "ask" if ask_every else "push",
+                          "rules": {**SETTINGS["rules"], "ask_every_s": ask_every}})
+    for seed in range(ingresses):
+        loop = Waits()
+        watch = Discovery(loop, parse_address(ADDRESS, "here"), settings, lambda *_: None, seed)
+        watch.revision = 7
+        watch.start()
+        for _ in range(8):
+            watch._failed("is overbooked")
+        firsts.append(loop.waits[0])
+        failed.append(loop.waits[1:])
+    return sorted(firsts), failed
+
+
+def test_large_fleet_does_not_overrun_the_one_discovery_that_it_asks():
+    firsts, failed = waits_of_fleet(40, ask_every=10.0)
+    busiest = max(sum(at <= other < at + 1.0 for other in firsts) for at in firsts)
+    assert busiest <= 10 and firsts[-1] <= 10.0     # four a second on average
+    assert all(waits[0] >= 5.0 and waits[-1] >= 20.0 for waits in failed)
+    assert len({waits[0] for waits in failed}) == 40    # and no two in step
+
+
+def test_small_fleet_or_one_with_agents_asks_soon():
+    firsts, failed = waits_of_fleet(3, ask_every=10.0)
+    assert firsts[-1] <= 1.0 and all(waits[0] <= 1.0 for waits in failed)
+    firsts, failed = waits_of_fleet(40, ask_every=0.0)
+    assert firsts[-1] == 0.0 and all(waits[0] <= 0.1 and max(waits) <= 1.0 for waits in failed)
+
+
 @pytest.mark.parametrize("bad", [b"noise\r\n\r\n", ok(b"{}"), ok(b"[" * 100_000), ok(b"{}", "500 No"), b""])
 def test_after_nonsense_the_list_is_kept_and_asked_for_again(bad):
     async def play() -> None:
