Give each backend its share of the ingresses, in place of parts drawn at random

Cause, Fleet.follow: the rank of a backend was drawn at random by each ingress at each start, so that the parts of 16 used some backends from 18 ingresses and others from 4, and were others after a restart.

Now each backend orders the ingresses, by its id alone, and our place in that order is its rank: with 60 backends and 40 ingresses each is used by 8 to 13, a restart keeps the part, and a backend that comes moves few.

With 16 backends or fewer all are in each part, as before.

--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -67,7 +67,8 @@
 
     def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
         self.settings, self.random, self.out = settings, Random(seed), []
-        self.fleet, self.line, self.timers = Fleet(), Line(), Timers(settings.tick)
+        self.fleet, self.line = Fleet(settings.me, settings.ingresses), Line()
+        self.timers = Timers(settings.tick)
         self.customers: dict[int, Customer] = {}  # the longest unseen first
         self.active: dict[int, Customer] = {}  # those that the period looks at
         self.typical = [FIRST_GUESS * c.aim for c in settings.classes]  # latency of a class, uncrowded
@@ -437,7 +438,7 @@
     def _roster(self, roster: api.Roster, now: float) -> None:
         if roster.kind is api.RosterKind.FAILED:
             return self.out.append(api.Subscribe())
-        self.fleet.follow(roster, self.random, now)
+        self.fleet.follow(roster, now)
         self.window = self.window or max(1.0, FIRST_OUT * len(self.fleet.ready) / self.settings.ingresses)
 
     def _restore(self, backend: object, now: float) -> None:
--- a/fennelpoint/state.py
+++ b/fennelpoint/state.py
@@ -12,7 +12,7 @@
 @dataclass(slots=True, eq=False)
 class Backend:
     entry: BackendEntry
-    rank: float             # its place in the order of this ingress: each has another one
+    rank: float             # our place in its order of the ingresses: see `upkeep.place`
     slow_at: float          # when its slowness was last brought up to date
     out: dict[int, tuple[float, float, float, Customer]] = field(default_factory=dict)
     # attempts out, by request: work, sent at, aim, customer
--- a/fennelpoint/upkeep.py
+++ b/fennelpoint/upkeep.py
@@ -67,7 +67,8 @@
 class Fleet:
     """The backends that the roster names, with what is out at them."""
 
-    def __init__(self) -> None:
+    def __init__(self, me: int, ingresses: int) -> None:
+        self.me, self.ingresses = me, ingresses
         self.known: dict[object, Backend] = {}
         self.ready: list[Backend] = []          # those that something may be sent to, in an order of our own
         self.busy: dict[object, Backend] = {}   # those with attempts out
@@ -77,7 +78,7 @@
         self.withdrawn: dict[object, float] = {}  # ids that operators took out, in the list or not, and when
         self.restored: dict[object, float] = {}  # and when they put one back
 
-    def follow(self, roster: api.Roster, random: Random, now: float) -> None:
+    def follow(self, roster: api.Roster, now: float) -> None:
         """Take in a list or its changes; a start that was not known is a new backend."""
         if roster.kind is not api.RosterKind.CHANGES:
             named = {e.backend for e in roster.entries}
@@ -89,7 +90,7 @@
             old = self.known.get(e.backend)
             if old is None or (e.state is api.BackendState.READY and e.started_at != old.entry.started_at):
                 new = self.known[e.backend] = Backend(
-                    e, random.random(), now, withdrawn=e.backend in self.withdrawn,
+                    e, place(e.backend, self.me, self.ingresses), now, withdrawn=e.backend in self.withdrawn,
                     restored_at=self.restored.get(e.backend, 0.0))
                 if old is not None:  # what was out there before its restart may still be answered
                     new.rank, new.out, new.load = old.rank, old.out, old.load
@@ -190,6 +191,16 @@
         c.cap_level = min(cap_depth, c.cap_level + c.cap * span)
 
 
+def place(backend: object, me: int, ingresses: int) -> float:
+    """Our place in this backend's order of the ingresses, which is the same at all of them.
+
+    Where each ingress uses the backends that place it first, all have nearly as many ingresses, and keep them
+    over restarts and as other backends come and go.  What is behind the point parts those of one place.
+    """
+    order = Random(f"{backend}")
+    return order.sample(range(ingresses), ingresses)[me % ingresses] + Random(f"{backend} {me}").random()
+
+
 def same_group(backends: list[Backend], entry: api.BackendEntry | None, part: str) -> list[Backend]:
     """Those of the same zone or cell; none where that is not known."""
     return [b for b in backends if entry is not None and getattr(b.entry, part) == getattr(entry, part)]
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -3,6 +3,7 @@
 from conftest import READY, SAFE, World, make_settings
 
 from fennelpoint import interface as api
+from fennelpoint.control import CANDIDATES
 
 
 def reporting_world(**changes) -> World:
@@ -52,3 +53,27 @@
     assert beside["none"] == 0 and 215 < beside["a"] < 285
     alone = drawn(half, half)
     assert 290 < alone["a"] + alone["b"] < 420
+
+
+def parts(fleet: int, backends: list[str]) -> list[list[str]]:
+    """The backends that each ingress of a fleet uses first."""
+    made = [World(make_settings(me=i, ingresses=fleet)) for i in range(fleet)]
+    for world in made:
+        world.backends(*backends)
+    return [[b.entry.backend for b in world.control.fleet.ready[:CANDIDATES]] for world in made]
+
+
+def test_parts_of_a_large_fleet_use_all_backends_alike():
+    """Drawn by each ingress for itself, some backends had twice the ingresses of others."""
+    names = [f"m{i}" for i in range(60)]
+    used = [sum(name in part for part in parts(40, names)) for name in names]
+    assert sum(used) / 60 * 0.6 < min(used) and max(used) < sum(used) / 60 * 1.4
+
+
+def test_part_is_the_same_after_a_restart_and_changes_little_as_backends_come():
+    names = [f"m{i}" for i in range(60)]
+    before = parts(40, names)
+    assert parts(40, names[::-1]) == before
+    grown = parts(40, names + ["new1", "new2", "new3"])
+    kept = sum(len(set(old) & set(new)) for old, new in zip(before, grown, strict=True))
+    assert kept >= 0.9 * 40 * CANDIDATES
