--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -109,6 +109,16 @@
         assert compare(world.control.asking, before)
 
 
+def test_answer_in_half_of_the_time_out_does_not_count_as_crowded():
+    """Between zones an idle counter took a third of it, and was asked ever less."""
+    world = sparse()
+    world.control.asking = 0.8
+    while not world.counts:
+        ask(world, customer=world.ids)
+    reply(world, latency=0.025)
+    assert world.control.asking > 0.8
+
+
 def test_amount_stands_for_the_tries_that_do_not_ask():
     world = sparse()
     world.control.asking = 0.5
