Let unasked sparse tries in by the odds while uncrowded, not by an even share

Cause, _ask_counter: such a try went by its customer's bucket here, one unit and a thirtieth of the quota, so each second try of a customer at an ingress was refused.

What the customer itself was told last counts before the plan's odds. While the counter is silent the even share stays.

--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -77,6 +77,7 @@
         self.fit, self.work, self.period_at = Fit(), 0.0, now
         self.window, self.pressure, self.cut_at, self.rest_until = 0.0, 0.0, now, now  # own attempts out
         self.retries, self.cut, self.pressed = RETRY_BURST, None, False
+        self.heard_at = -inf    # when the counter last answered a sparse try
         self.asking, self.usual_held = 1.0, 0.0  # share of sparse tries that ask; requests a backend reports
         self.odds = [[1.0, 0.3] for _ in settings.plans]  # that a first sparse try, and a repeat, has room
         self.blind = HERD + (1.0 - HERD) * max(0.0, 1.0 - SEES / settings.ingresses)  # to others' work
@@ -242,10 +243,21 @@
             self.out.append(api.Count(t.customer.key, amount, t.customer.window))
             t.not_before = now + 2 * self.settings.counter_timeout  # should the answer never come
             return self._hold(t, now)
-        odds = self.odds[t.ask.plan][t.ask.is_repeat]  # unasked: by what the others of its plan were told
-        t.inside = False if odds < (1.0 - odds) * plan.over_cost else None
+        odds = self._odds(t, now)
+        if odds < (1.0 - odds) * plan.over_cost:
+            t.inside = False
+        elif now - self.heard_at < SILENT_AFTER and (
+                odds - (1.0 - odds) * plan.over_cost > self.pressure / TARGET):
+            t.inside = True     # else by the even share: what is crowded has no room for what may be beyond
         self._enter(t, now)
 
+    def _odds(self, t: Try, now: float) -> float:
+        """That an unasked try is inside: by what its customer was last told, and as that fades, its plan."""
+        c, odds = t.customer, self.odds[t.ask.plan][t.ask.is_repeat]
+        if c.told is not None:
+            odds += (c.told - odds) * 0.5 ** ((now - c.told_at) / c.window)
+        return odds
+
     def _answered(self, c: Customer, reply: api.CounterReply, ok: bool, now: float) -> None:
         """Let a sparse customer's try in if the window had room when it was asked; soft plans may go on."""
         t, amount = c.asking.pop(0)
@@ -254,6 +266,7 @@
         self.asking = min(1.0, max(LEAST_ASKING, asking))
         t.inside = reply.total - amount < self.settings.plans[c.plan].rate * c.window if ok else None
         if ok:
+            c.told, c.told_at, self.heard_at = t.inside, now, now
             self.odds[c.plan][t.ask.is_repeat] += LEARN / 2 * (t.inside - self.odds[c.plan][t.ask.is_repeat])
         c.level = 0.0 if t.inside is False else c.level  # to go by while the counter is silent
         if self.line.release(t):
--- a/fennelpoint/state.py
+++ b/fennelpoint/state.py
@@ -46,6 +46,8 @@
     seen: float = 0.0
     total: float | None = None
     window: float = 0.0     # s that a sparse customer's asks are counted over; 0: it is not sparse
+    told: bool | None = None    # whether the window had room, by the last answer
+    told_at: float = 0.0
     asking: list[tuple[Try, float]] = field(default_factory=list)  # tries whose call is out, and its amount
     fails: int = 0          # calls in a row without an answer
     fresh: float = 0.0      # taken from the quota since the last call
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -266,3 +266,41 @@
     world.control.asking = 0.0
     assert kinds(ask(world, customer=1000)) == [api.Refuse]
     assert kinds(ask(world, customer=1001, plan=SOFT)) == [api.Send]  # its excess costs nothing
+
+
+def told_of_room() -> World:
+    """The first tries of some customers were told that there was room, and enough may be out."""
+    world = sparse()
+    world.control.window = 100.0
+    for customer in range(10):
+        ask(world, customer=customer)
+        reply(world)
+    return world
+
+
+def unasked_second_try(pressure: float = 0.0, silent: bool = False) -> type:
+    """A second try of a customer here, while the odds of its plan are good: its even share is used up."""
+    world = told_of_room()
+    world.control.asking, world.control.pressure = 0.0, pressure
+    ask(world, customer=1000)
+    if silent:
+        world.now += 2 * control.SILENT_AFTER
+    return kinds(ask(world, customer=1000))[0]
+
+
+def test_unasked_try_goes_by_the_odds_and_not_by_an_even_share_of_nearly_nothing():
+    assert unasked_second_try() is api.Send
+
+
+def test_unasked_try_goes_by_the_even_share_where_room_is_short_or_the_counter_silent():
+    assert unasked_second_try(pressure=control.TARGET) is api.Refuse
+    assert unasked_second_try(silent=True) is api.Refuse
+
+
+def test_customer_told_to_be_beyond_its_quota_is_not_let_in_unasked_soon_after():
+    world = told_of_room()
+    ask(world, customer=1000)
+    reply(world, total=50.0)
+    world.control.asking = 0.0
+    assert kinds(ask(world, customer=1000)) == [api.Refuse]
+    assert kinds(ask(world, customer=1001)) == [api.Send]
