Keep nothing back of a ceiling's part that holds hardly two requests

Cause, _place: half of the part was kept for what is inside the quota, so that what looked beyond it went only with the part full or not at all; and a bucket of a thirtieth can't tell what is inside.

Parts of four requests and more are kept as before.

--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -337,7 +337,10 @@
                 return False
             # Guards the room inside the quota: what is worth little used the ceiling up where attempts out
             # were at their limit, and the next ones inside had none left.
-            kept = KEPT_BACK * plan.ceiling_burst / c.width
+            # Of a part that holds hardly two requests nothing is kept: whether a try is inside can't be told
+            # there, and what is refused is mostly that.
+            part = plan.ceiling_burst / c.width
+            kept = min(KEPT_BACK * part, max(0.0, part - 2.0 * units))
             if not inside and plan.ceiling_rate and c.ceiling < units + kept:
                 return False
         full = now < self.rest_until or self.fleet.out >= self._most_out(1.0 if inside else SPARE)
--- a/tests/test_beyond.py
+++ b/tests/test_beyond.py
@@ -47,3 +47,21 @@
         world.ask(SAFE, HARD, customer=i)
     refused = [a for a in world.wait(4.0) if isinstance(a, api.Refuse)]
     assert refused and all(a.retry_after == 0.0 for a in refused)
+
+
+def sent_of_a_crowd(width: float) -> int:
+    """How many of many tries at once are sent, of a customer whose quota is far under its ceiling."""
+    plan = api.Plan("capped", price=3.0, rate=2.0, burst=2.0, over_worth=0.3, ceiling_rate=10.0,
+                    ceiling_burst=20.0)
+    world = World(make_settings(plans=[plan], most_units=1.0))
+    world.backends("a", "b")
+    world.control.window = 1000.0
+    world.ask(plan=0, width=width)      # a customer that is new has no units under its ceiling yet
+    world.wait(3.0)
+    return sum(isinstance(a, api.Send) for _ in range(20) for a in world.ask(plan=0, width=width))
+
+
+def test_part_of_a_ceiling_that_holds_hardly_two_requests_is_used_whole():
+    """Kept back for what is inside, it refused the second try, whose quota can't be told there."""
+    assert sent_of_a_crowd(width=10.0) == 2
+    assert sent_of_a_crowd(width=2.0) == 5     # of ten, half is kept back
