Let a new customer's part of its ceiling fill since the process began

Cause, _customer: a customer's part began empty with its first request at an ingress, and a part of a thirtieth takes a second or two to hold one unit: the first request at each ingress was refused or held.

The part was empty at first so that a restart does not fill it. That holds as well where it has filled since the process began, up to the time after which an idle customer is forgotten; where two processes share an ingress it begins anew with each change of their parts.

No rule broken.

--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -90,6 +90,7 @@
                    api.BodyWhole: lambda event, now: self._body_whole(event.request, now),
                    api.StreamStarted: self._begun,
                    api.Part: lambda event, now: self._take_part(event.part, now)}
+        self.began = now    # its parts of ceilings are its own from then on
         self.part = 1.0     # of this ingress's allowances; the rest is with another process of it
 
     def start(self, now: float) -> list[api.Action]:
@@ -118,7 +119,7 @@
 
         What was saved up shrinks with the part, and does not grow with it: the other one may have used it.
         """
-        wider, self.part = self.part / part, part
+        wider, self.part, self.began = self.part / part, part, now
         for c in self.customers.values():
             self._fill(c, now)
             c.width, c.share = c.width * wider, min(1.0, c.share / wider)
@@ -137,6 +138,9 @@
             c = Customer(ask.customer, ask.plan, width, 1.0 / width, max(plan.burst / width, ask.units),
                          store=plan.burst, filled=now, total_at=now,
                          count_at=now + self.random.uniform(0.3, 1.0) * COUNT_PERIOD)
+            # What its part gave while no more than this process can have used it: guards the ceiling after a
+            # restart, which does not fill it, and where a customer was forgotten for a while.
+            c.ceiling = min(plan.ceiling_burst, plan.ceiling_rate * min(now - self.began, FORGET)) / width
             if self.settings.has_counter and 0.0 < plan.rate * SPARSE < self.settings.most_units * whole:
                 c.window = min(FORGET_COUNT, WINDOW * plan.burst / plan.rate)
         self.customers[ask.customer], c.seen = c, now
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -163,6 +163,17 @@
     assert 20 <= sent <= 25 + 1  # five units a second of the ten, over five seconds
 
 
+def test_ceiling_of_a_new_customer_has_filled_since_the_process_began_and_no_longer():
+    """Filled from its first request on, it refused the first one at each of many ingresses."""
+    world = wide()
+    world.wait(1.0)
+    sent = sum(kinds(world.ask(plan=CAPPED, units=1.0)).count(api.Send) for _ in range(20))
+    assert 4 <= sent <= 5   # five units a second of the ten
+    world.give(api.Part(0.5))   # what had filled until now may be used by the other process
+    sent = sum(kinds(world.ask(plan=CAPPED, customer=2)).count(api.Send) for _ in range(20))
+    assert sent == 0
+
+
 def test_open_slots_are_shared_out_and_come_back_when_the_client_leaves():
     world = wide()
     (send,) = world.ask(plan=SLOTS)
