--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -79,7 +79,8 @@
         self.retries, self.cut, self.pressed = RETRY_BURST, None, False
         self.heard_at = -inf    # when the counter last answered a sparse try
         self.asking, self.usual_held = 1.0, 0.0  # share of sparse tries that ask; requests a backend reports
-        self.odds = [[1.0, 0.3] for _ in settings.plans]  # that a first sparse try, and a repeat, has room
+        # That a sparse try has room: a customer's first one here for a while, another one, a repeat.
+        self.odds = [[1.0, 1.0, 0.3] for _ in settings.plans]
         self.blind = HERD + (1.0 - HERD) * max(0.0, 1.0 - SEES / settings.ingresses)  # to others' work
         self.probes = settings.may_probe and settings.report_via != "none" and self.blind > 0.5
         self.on = {api.Request: self._admit, api.Outcome: self._outcome, api.Roster: self._roster,
@@ -143,6 +144,7 @@
             c.ceiling = min(plan.ceiling_burst, plan.ceiling_rate * min(now - self.began, FORGET)) / width
             if self.settings.has_counter and 0.0 < plan.rate * SPARSE < self.settings.most_units * whole:
                 c.window = min(FORGET_COUNT, WINDOW * plan.burst / plan.rate)
+        c.met = now - c.seen < c.window
         self.customers[ask.customer], c.seen = c, now
         forget(self.customers, SWEEP, now - FORGET)
         return c
@@ -257,7 +259,7 @@
 
     def _odds(self, t: Try, now: float) -> float:
         """That an unasked try is inside: by what its customer was last told, and as that fades, its plan."""
-        c, odds = t.customer, self.odds[t.ask.plan][t.ask.is_repeat]
+        c, odds = t.customer, self.odds[t.ask.plan][t.kind]
         if c.told is not None:
             odds += (c.told - odds) * 0.5 ** ((now - c.told_at) / c.window)
         return odds
@@ -271,7 +273,7 @@
         t.inside = reply.total - amount < self.settings.plans[c.plan].rate * c.window if ok else None
         if ok:
             c.told, c.told_at, self.heard_at = t.inside, now, now
-            self.odds[c.plan][t.ask.is_repeat] += LEARN / 2 * (t.inside - self.odds[c.plan][t.ask.is_repeat])
+            self.odds[c.plan][t.kind] += LEARN / 2 * (t.inside - self.odds[c.plan][t.kind])
         c.level = 0.0 if t.inside is False else c.level  # to go by while the counter is silent
         if self.line.release(t):
             t.not_before = now
@@ -279,7 +281,7 @@
 
     def _admit(self, ask: api.Request, now: float) -> None:
         c, cls, plan = self._customer(ask, now), self.settings.classes[ask.cls], self.settings.plans[ask.plan]
-        t = Try(ask, c, inf, inf, cls.worth * plan.price)
+        t = Try(ask, c, inf, inf, cls.worth * plan.price, kind=2 if ask.is_repeat else c.met)
         self._time(t, now)
         self.line.open[ask.request], c.worth = t, max(c.worth, t.worth)
         self._fill(c, now)
--- a/fennelpoint/state.py
+++ b/fennelpoint/state.py
@@ -43,9 +43,10 @@
     filled: float
     total_at: float         # when the last total came
     count_at: float         # when the counter may be called next
-    seen: float = 0.0
+    seen: float = -1e9
     total: float | None = None
     window: float = 0.0     # s that a sparse customer's asks are counted over; 0: it is not sparse
+    met: bool = False       # here within that time, before the request at hand
     told: bool | None = None    # whether the window had room, by the last answer
     told_at: float = 0.0
     asking: list[tuple[Try, float]] = field(default_factory=list)  # tries whose call is out, and its amount
@@ -81,6 +82,7 @@
     aim_at: float
     ends: float
     worth: float
+    kind: int = 0           # what the odds go by: 0, the first one here for a while; 1, another; 2, a repeat
     half: float = inf       # when half of its time is up
     attempts: int = 0
     reached: bool = False           # an attempt came to a backend
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -304,3 +304,17 @@
     world.control.asking = 0.0
     assert kinds(ask(world, customer=1000)) == [api.Refuse]
     assert kinds(ask(world, customer=1001)) == [api.Send]
+
+
+def test_second_try_of_a_customer_soon_after_goes_by_odds_of_its_own():
+    """Its first try at an ingress mostly has room; who is met again within the window asks far more."""
+    world = sparse()
+    world.control.window = 200.0
+    for customer in range(30):
+        ask(world, customer=customer)
+        reply(world)
+        ask(world, customer=customer)
+        reply(world, total=50.0)
+    world.control.asking = 0.0
+    assert kinds(ask(world, customer=1000)) == [api.Send]
+    assert kinds(ask(world, customer=1000)) == [api.Refuse]
