--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -30,6 +30,7 @@
 SPARED = 1 << 40    # over all keys; a key and this is the counter's name for what was asked and not taken
 ASKED_HALF, SPARSE = 2.0, 10.0  # s: asks count half in a share; to fill one request: past it each try asks
 WINDOW, CROWDED = 1.0, 0.6  # burst spans that its asks are counted over; of the time-out: stood in line
+SPARE_ASKS = 4.0    # times as soon as first tries, repeats and what costs nothing are asked less
 ASK_GAIN, ASK_EASE, ASK_LOSS, LEAST_ASKING = 0.05, 0.9, 0.6, 0.1  # asking share: quick, crowded, none; least
 FIRST_GUESS, FASTER, SLOWER, LEARN = 0.12, 0.1, 0.03, 0.2  # of the aim: a first latency; an answer's weights
 TAIL, TAIL_STEP, PATIENCE = 0.1, 0.1, 3.0  # of the answers come later; step to that; times it to wait for one
@@ -243,8 +244,9 @@
     def _ask_counter(self, t: Try, now: float) -> None:
         """A sparse customer's try waits for the total of its own call; a counter in trouble is asked less."""
         plan = self.settings.plans[t.ask.plan]
-        spare = t.ask.is_repeat or plan.over_cost <= 0.0  # needs the answer less
-        if self.random.random() < (max(0.0, 2.0 * self.asking - 1.0) if spare else self.asking):
+        spare = t.ask.is_repeat or plan.over_cost <= 0.0  # needs the answer less: few of these have room
+        asked = max(0.0, 1.0 - SPARE_ASKS * (1.0 - self.asking)) if spare else self.asking
+        if self.random.random() < asked:
             t.customer.asking.append((t, amount := t.ask.units / self.asking))  # for those unasked too
             self.out.append(api.Count(t.customer.key, amount, t.customer.window))
             t.not_before = now + 2 * self.settings.counter_timeout  # should the answer never come
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -318,3 +318,16 @@
     world.control.asking = 0.0
     assert kinds(ask(world, customer=1000)) == [api.Send]
     assert kinds(ask(world, customer=1000)) == [api.Refuse]
+
+
+def test_repeats_leave_a_crowded_counter_to_first_tries():
+    world = sparse()
+    world.control.asking = 0.7
+    for _ in range(40):
+        world.ids += 1
+        world.give(api.Request(world.ids, 0, HARD, world.ids, 4.0, 1.0, float(INGRESSES), 0.0,
+                               is_repeat=True))
+    assert world.counts == []
+    for _ in range(40):
+        ask(world, customer=world.ids)
+    assert 15 < len(world.counts) < 40
