Let reports of load count longer where many ingresses hear each for itself

Cause, _cost: a report counts half after a second, while one of 40 ingresses hears of a server of its part every two to four seconds, as reports come with its own answers; so nearly all were judged by the usual figure.

Now the time grows with the root of the ingresses over four, so that with up to four it stays a second.

--- a/fennelpoint/control.py
+++ b/fennelpoint/control.py
@@ -82,6 +82,9 @@
         self.asking, self.usual_held = 1.0, 0.0  # share of sparse tries that ask; requests a backend reports
         # That a sparse try has room: a customer's first one here for a while, another one, a repeat.
         self.odds = [[1.0, 1.0, 0.3] for _ in settings.plans]
+        # Where reports come with answers, the more ingresses the seldomer each hears of a backend.
+        seldom = max(1.0, settings.ingresses / SEES) if settings.report_via == "answers" else 1.0
+        self.report_half = REPORT_HALF * seldom ** 0.5
         self.blind = HERD + (1.0 - HERD) * max(0.0, 1.0 - SEES / settings.ingresses)  # to others' work
         self.probes = settings.may_probe and settings.report_via != "none" and self.blind > 0.5
         self.on = {api.Request: self._admit, api.Outcome: self._outcome, api.Roster: self._roster,
@@ -510,7 +513,7 @@
         do alike.  Guards against a herd: whoever told the least got everything until its next report.
         """
         weight, work, held = max(b.entry.weight, 1e-3), self.typical[t.ask.cls], self.usual_held
-        held += (b.reported - held) * 0.5 ** ((now - b.reported_at) / REPORT_HALF)
+        held += (b.reported - held) * 0.5 ** ((now - b.reported_at) / self.report_half)
         luck = 1.0 if t.picked else 1.0 + self.blind * (lot * weight - 1.0)
         luck *= NEAR_TIE if b.entry.zone != self.settings.zone else 1.0
         out = b.load * self.settings.ingresses
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -77,3 +77,20 @@
     grown = parts(40, names + ["new1", "new2", "new3"])
     kept = sum(len(set(old) & set(new)) for old, new in zip(before, grown, strict=True))
     assert kept >= 0.9 * 40 * CANDIDATES
+
+
+def test_report_counts_longer_where_each_ingress_hears_of_a_backend_seldom():
+    """Three seconds on, the report of one of 40 still tells which backend holds more, as none came since."""
+    def part_of_the_idle(ingresses: int) -> float:
+        world = reporting_world(ingresses=ingresses, has_counter=False)
+        report(world, a=0.0, b=8.0)
+        world.now += 3.0
+        chosen = []
+        for customer in range(1000):
+            (backend,) = sent_to(world.ask(SAFE, customer=200 + customer, width=1.0))
+            world.give(api.Outcome(world.ids, 0, backend, api.Status.OK, 0.1, True))
+            chosen.append(backend)
+        return chosen.count("a") / len(chosen)
+
+    assert part_of_the_idle(40) > 0.72
+    assert part_of_the_idle(4) > 0.5
