Ask an agent for the whole list again, and be ready at once by the known one elsewhere

Cause, Discovery.take and LIST_WAIT: the known list was watched from its revision with an agent too, whose first answer then comes with the next news, so a start waited for 0.25 s and went by an old list. Where discovery is asked the wait was for nothing, as the first call may be put off for seconds.

--- a/fennelpoint/__main__.py
+++ b/fennelpoint/__main__.py
@@ -30,7 +30,7 @@
 from fennelpoint.settings import from_json
 
 SWEEP = 0.25            # s between looks at idle connections
-LIST_WAIT = 0.25        # s for discovery to answer before the list known from before will do
+LIST_WAIT = 1.0         # s for an agent to answer before the list known from before will do
 ACCEPT_ON = 0.5         # s that connections are still taken after SIGTERM: the front learns late
 LONGEST_STOP, STOP_SLACK = 3.0, 0.4  # s after SIGTERM by which all is answered: the longest deadline, this at
                         # most, and the slack; SIGKILL comes 0.3 s later
@@ -170,7 +170,9 @@
         if self.shared is None or self.place == "alone":
             await self._listen()
         self.discovery.start()
-        self.loop.call_later(LIST_WAIT, self._go_by_known)
+        # Where discovery is asked, the first call may be put off for long: nothing is waited for.
+        asked = self.config.settings.discovery == "ask"
+        self.loop.call_later(0.0 if asked else LIST_WAIT, self._go_by_known)
         self.loop.call_later(SWEEP, self._sweep)
 
     async def _listen(self) -> None:
--- a/fennelpoint/net/discovery.py
+++ b/fennelpoint/net/discovery.py
@@ -149,8 +149,8 @@
 
     def take(self, listing: Listing) -> None:
         """Keep to a list, and tell of it."""
-        if listing.roster.kind is api.RosterKind.CACHED:
-            self.revision = listing.roster.version
+        if listing.roster.kind is api.RosterKind.CACHED and self.settings.discovery == "ask":
+            self.revision = listing.roster.version  # the whole list is dear there, and free from an agent
         if listing.roster.kind is not api.RosterKind.CHANGES:
             self.known = {}
         for entry in listing.roster.entries:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -56,12 +56,13 @@
 class Follow:
     """A watch against a scripted service."""
 
-    def __init__(self, handle, known=None) -> None:
+    def __init__(self, handle, known=None, discovery="push") -> None:
         self.fake, self.told, self.known = Fake(handle), [], known
+        self.settings = from_json({**SETTINGS, "discovery": discovery})
 
     async def __aenter__(self):
         address = parse_address(await self.fake.start(), "here")
-        self.watch = Discovery(asyncio.get_running_loop(), address, from_json(SETTINGS),
+        self.watch = Discovery(asyncio.get_running_loop(), address, self.settings,
                                lambda roster, addresses: self.told.append(roster), seed=1)
         if self.known is not None:
             self.known.roster.kind = RosterKind.CACHED
@@ -106,8 +107,8 @@
             lines.append((await read_message(reader))[0])
             await reader.read()
 
-        async with Follow(handle, parse_list(listing(member("a", ADDRESS), revision=7),
-                                             from_json(SETTINGS))) as f:
+        known = parse_list(listing(member("a", ADDRESS), revision=7), from_json(SETTINGS))
+        async with Follow(handle, known, discovery="ask") as f:
             await until(lambda: len(lines) == 2)
             assert [line.split()[1].partition("&")[0] for line in lines] == [
                 "/v1/endpoints?from=7", "/v1/endpoints?from=8"]
@@ -116,6 +117,23 @@
     run(play())
 
 
+def test_agent_is_asked_for_the_whole_list_at_once_though_one_is_known():
+    async def play() -> None:
+        lines = []
+
+        async def handle(reader, writer):
+            lines.append((await read_message(reader))[0])
+            writer.write(ok(json.dumps(listing(member("b", ADDRESS), revision=8)).encode()))
+            await reader.read()
+
+        known = parse_list(listing(member("a", ADDRESS), revision=7), from_json(SETTINGS))
+        async with Follow(handle, known) as f:
+            await until(lambda: len(f.told) == 2)
+            assert lines[0].split()[1] == "/v1/endpoints" and f.told[1].kind is RosterKind.FULL
+
+    run(play())
+
+
 class Waits:
     """In place of a loop: how long each call is put off."""
 
