--- a/fennelpoint/__main__.py
+++ b/fennelpoint/__main__.py
@@ -26,6 +26,7 @@
 from fennelpoint.net.host import Host
 from fennelpoint.net.notice import in_background, log
 from fennelpoint.net.operators import MOST_CALLERS, Operators
+from fennelpoint.net.reader import Reader
 from fennelpoint.net.server import Server
 from fennelpoint.settings import from_json
 
@@ -144,7 +145,7 @@
         self.host = Host(loop, settings, config.seed, self.backends, self.counter)
         self.discovery = Discovery(loop, config.discovery, settings, self.follow, config.seed)
         self.coming: Discovery | None = None    # a new discovery that has not told its list yet
-        self.server = Server(loop, self.host, clients)
+        self.server = Server(loop, self.host, clients, Reader(config.settings))
         self.operators = Operators(loop, self) if config.mgmt is not None else None
         self.opening: asyncio.Task | None = None
         self.stopping_since: float | None = None
--- a/fennelpoint/net/backends.py
+++ b/fennelpoint/net/backends.py
@@ -10,6 +10,8 @@
 import asyncio
 import errno
 import json
+import math
+import re
 import select
 import time
 from collections.abc import Callable
@@ -27,6 +29,7 @@
 OWN_SHORTAGE = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 CONNECT_TIMEOUT = 0.25      # s, where the settings tell none
 IDLE_SHARE, IDLE_MOST = 0.5, 30.0  # of the settings' idle time: well before the backend closes; s at most
+KEEP_ALIVE = re.compile(rb"timeout=(\d{1,6})")
 HOP_BY_HOP = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate",
                         b"te", b"trailer", b"transfer-encoding", b"upgrade", b"content-length"))
 
@@ -47,14 +50,38 @@
     def piece(self, data: bytes) -> None: ...
 
 
+class Dialect:
+    """What an answer says, in the words of the backends that are spoken to."""
+
+    def verdict(self, answer: Answer, whole: bool) -> Status:
+        """How the attempt ended, by its whole answer; `whole`: the backend has the whole request."""
+        if answer.status in (503, 504) and (b"x-turned-away", b"1") in answer.headers:
+            return Status.FULL
+        if not whole:
+            return Status.CONNECT_FAILED    # it answers what it has not got whole, so it has not run
+        return Status.OK if answer.status == 200 else Status.ERROR
+
+    def doubt(self, status: int, headers: list[tuple[bytes, bytes]], until_close: bool) -> str:
+        """What is wrong with an answer that begins so; nothing where it may be taken."""
+        return ""
+
+    def alien(self, headers: list[tuple[bytes, bytes]], echo: bytes | None) -> bool:
+        """Whether an answer that begins so belongs to another request, which was over before."""
+        return False
+
+
 class Exchange:
     """One request to one backend, from the wish to send it until its outcome."""
 
-    __slots__ = ("render", "done", "sent", "upload", "receiver", "connection", "connecting", "ended")
+    __slots__ = ("render", "done", "sent", "upload", "receiver", "connection", "connecting", "ended", "echo",
+                 "idle")
 
     def __init__(self, render: Callable[[], bytes], done: Callable[[Status, Answer | None], None],
                  sent: Callable[[], None] = lambda: None, upload: Upload | None = None,
-                 receiver: Receiver | None = None) -> None:
+                 receiver: Receiver | None = None, echo: bytes | None = None,
+                 idle: tuple[float, float] | None = None) -> None:
+        self.echo = echo        # the id that its answer names, in dialects that have one
+        self.idle = idle        # s that a connection which is used again may have stood: least and most
         self.render = render    # the bytes to send, made when they can be written
         self.done = done        # told the outcome, once; with no answer where that was passed on in pieces
         self.sent = sent        # told that the last byte is written
@@ -108,7 +135,7 @@
     __slots__ = ("pool", "upstream", "transport", "exchange", "first", "parser", "flushed", "finished",
                  "idle_since", "poll", "status", "headers", "length", "in_head", "until_close", "body",
                  "body_size", "counted", "size", "complete", "excess", "keep", "closed", "heard", "moved",
-                 "doubt", "begun", "passing", "reading", "waiting", "__weakref__")
+                 "doubt", "begun", "passing", "reading", "waiting", "alien", "tainted", "lasts", "__weakref__")
 
     def __init__(self, pool: Backends, upstream: Upstream, first: Exchange) -> None:
         self.pool, self.upstream, self.first = pool, upstream, first
@@ -117,6 +144,8 @@
         self.parser = httptools.HttpResponseParser(self)
         self.flushed = self.finished = self.reading = True
         self.closed, self.idle_since = False, 0.0
+        self.alien = self.tainted = False   # the answer at hand is to a request that was over; one was
+        self.lasts = math.inf   # s that the backend keeps it open unused, by its word
         self.waiting: Waiting | None = None     # what an upload has waiting here
         self.counted = 0
         self._reset()
@@ -254,16 +283,23 @@
         if self.complete:
             return
         self.in_head, self.status = False, self.parser.get_status_code()
-        if self.status == 200:
-            length = next((value for name, value in self.headers if name == b"content-length"), None)
-            chunked = any(name == b"transfer-encoding" for name, _ in self.headers)
-            self.length = int(length) if length is not None and not chunked else None
-            self.until_close = length is None and not chunked
-            if self.length is not None and self.length > flow.MOST_LARGE:
-                self.doubt = "is too large"
+        if self.status < 200:
+            return
+        dialect, echo = self.pool.dialect, self.exchange.echo if self.exchange is not None else None
+        if self.exchange is not None and dialect.alien(self.headers, echo):
+            self.alien = self.tainted = True
+            return
+        length = next((value for name, value in self.headers if name == b"content-length"), None)
+        chunked = any(name == b"transfer-encoding" for name, _ in self.headers)
+        self.length = int(length) if length is not None and not chunked else None
+        self.until_close = length is None and not chunked and self.status not in (204, 304)
+        if self.length is not None and self.length > flow.MOST_LARGE:
+            self.doubt = "is too large"
+        else:
+            self.doubt = dialect.doubt(self.status, self.headers, self.until_close)
 
     def on_body(self, body: bytes) -> None:
-        if self.complete or self.doubt or self.exchange is None:
+        if self.complete or self.doubt or self.alien or self.exchange is None:
             return
         self.body_size += len(body)
         if self.body_size > flow.MOST_LARGE:
@@ -279,7 +315,7 @@
 
     def _begin_passing(self) -> None:
         """The answer is too large to hold: what there is of it goes out now, the rest as it comes."""
-        if self.status != 200 or not self.written or self.exchange.receiver is None:
+        if not 200 <= self.status < 300 or not self.written or self.exchange.receiver is None:
             self.doubt = "is too large"
             return
         self.passing, self.moved = True, time.monotonic()
@@ -297,7 +333,10 @@
     def on_message_complete(self) -> None:
         if self.complete:
             return
-        if 100 <= self.status < 200:
+        if self.alien:
+            self.alien = False          # the answer that counts may follow
+            self.headers, self.in_head, self.begun, self.heard = [], True, False, 0.0
+        elif 100 <= self.status < 200:
             self.headers.clear()    # an interim answer; the one that counts follows
             self.in_head, self.begun, self.heard = True, False, 0.0     # which may take its time
         else:
@@ -314,7 +353,11 @@
         exchange, whole, passed = self.exchange, self.written, self.passing
         self._leave_exchange()
         answer = Answer(self.status, self.headers, self._held())
-        if self.excess or not whole or not self.keep or self.until_close or not self.upstream.open:
+        for name, value in self.headers:
+            if name == b"keep-alive" and (told := KEEP_ALIVE.search(value)):
+                self.lasts = IDLE_SHARE * int(told[1])
+        if (self.excess or self.tainted or not whole or not self.keep or self.until_close
+                or not self.upstream.open):
             self.close()
         else:
             self.read_on(True)
@@ -322,12 +365,7 @@
             self.upstream.idle.append(self)
         if passed:
             return exchange.end(Status.OK)
-        turned_away = self.status in (503, 504) and (b"x-turned-away", b"1") in self.headers
-        if turned_away or whole:
-            status = Status.OK if self.status == 200 else Status.FULL if turned_away else Status.ERROR
-        else:
-            status = Status.CONNECT_FAILED  # it answers what it has not got whole, so it has not run
-        exchange.end(status, answer)
+        exchange.end(self.pool.dialect.verdict(answer, whole), answer)
 
     def _leave_exchange(self) -> None:
         """The exchange is over here, whatever has become of it."""
@@ -391,8 +429,9 @@
     """The connections to every backend that discovery has named, within one bound."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, most: int, connect_timeout: float,
-                 idle_close: float, aim: float, budget: Budget) -> None:
+                 idle_close: float, aim: float, budget: Budget, dialect: Dialect | None = None) -> None:
         self.loop, self.most, self.budget = loop, most, budget
+        self.dialect = dialect or Dialect()
         # Soon against the aim: guards the time that another attempt needs.
         self.stalled = min(STALLED, STALLED_SHARE * aim)
         self.connect_timeout = connect_timeout or CONNECT_TIMEOUT
@@ -448,12 +487,15 @@
         upstream = self.upstreams.get(backend)
         if upstream is None or not upstream.open:
             return exchange.end(Status.CONNECT_FAILED)
-        oldest = time.monotonic() - self.idle_most
-        while upstream.idle:
-            connection = upstream.idle.pop()
-            if connection.idle_since >= oldest and not connection.stale():
+        now = time.monotonic()
+        least, most = exchange.idle or (0.0, self.idle_most)
+        for connection in reversed(list(upstream.idle)):    # the one used last first
+            idle = now - connection.idle_since
+            if idle > min(self.idle_most, connection.lasts) or connection.stale():
+                connection.close()
+            elif least <= idle <= most:
+                upstream.idle.remove(connection)
                 return connection.start(exchange)
-            connection.close()
         if len(self.all) + len(self.connecting) >= self.most and not self._evict():
             # Guards the backend's name: the shortage is our own, so this must not look like its fault.
             complain("upstream", "all %d connections are in use", self.most)
@@ -503,8 +545,9 @@
             connection.overdue(now)
         oldest = now - self.idle_most
         for upstream in self.upstreams.values():
-            while upstream.idle and upstream.idle[0].idle_since < oldest:
-                upstream.idle[0].close()
+            for connection in list(upstream.idle):
+                if connection.idle_since < oldest or now - connection.idle_since > connection.lasts:
+                    connection.close()
 
     def close(self) -> None:
         for task in list(self.connecting):
--- a/fennelpoint/net/host.py
+++ b/fennelpoint/net/host.py
@@ -243,6 +243,10 @@
         """Whether a request of this id has no answer yet, or may still be with a backend."""
         return txn in self.open_ids
 
+    def doubled(self, asked: Asked) -> None:
+        """A second request came under an id that is open."""
+        self.figures.errored[asked.cls] += 1
+
     def gone(self, request: int) -> None:
         """The client has closed its connection: nobody is owed an answer; what is out may end."""
         ticket = self.tickets.get(request)
--- a/fennelpoint/net/server.py
+++ b/fennelpoint/net/server.py
@@ -8,24 +8,25 @@
 from __future__ import annotations
 
 import asyncio
-import math
-import re
 import select
 import socket
 import struct
 import time
 from collections import deque
 from dataclasses import dataclass
-from functools import lru_cache
+from http import HTTPStatus
 from itertools import takewhile
+from typing import TYPE_CHECKING
 
 import httptools
 
-from fennelpoint import interface as api
 from fennelpoint.net import flow
 from fennelpoint.net.backends import HOP_BY_HOP, Answer, UpstreamConnection
 from fennelpoint.net.flow import Upload, Waiting
-from fennelpoint.net.host import Asked, Host
+
+if TYPE_CHECKING:
+    from fennelpoint.net.host import Asked, Host
+    from fennelpoint.net.reader import Reader
 
 MOST_HEAD = 16 * 1024   # bytes of request line and fields together
 MOST_TAKEN = 512 * 1024  # bytes of one request as it comes, beyond its body and that one's usual framing
@@ -41,123 +42,27 @@
 YOUNG = 0.25            # s that a new connection has to send its request before it may have to make room
 TURN_AWAY = 1.0         # s after a drain before unused connections are closed: the front turns away meanwhile
 DRAINED_IDLE = 0.5      # s that one has stood unused by then
-MOST_LEFT_MS = 600_000  # ms; a longer wait is not meant
-MOST_CUSTOMER = 1 << 33
-MOST_TERMS = 128        # bytes
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)   # as SO_LINGER
-ID = re.compile(rb"[!-~]{1,128}")
-ACCOUNT = re.compile(rb"account=[0-9a-f]{16}")
 
-REASONS = {200: b"OK", 400: b"Bad Request", 408: b"Request Timeout", 409: b"Conflict",
-           413: b"Content Too Large", 431: b"Request Header Fields Too Large", 502: b"Bad Gateway",
-           503: b"Service Unavailable"}
-ROUTING = frozenset((b"x-txn", b"x-lane", b"api-plan", b"x-remaining-ms", b"api-terms", b"cookie", b"host",
-                     b"content-length", b"transfer-encoding", b"x-resent"))
-NOT_PASSED_ON = HOP_BY_HOP | {b"expect", b"x-remaining-ms"}
+REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+
+
+@dataclass(slots=True)
+class Bounds:
+    """What a client may send, and how long it may take over it."""
+
+    head_bytes: int = MOST_HEAD
+    body_bytes: int | None = None       # none: what any body may have
+    head_time: float = HEAD_TIMEOUT     # s
+    idle_time: float = IDLE_TIMEOUT     # s
 
 
 class BadRequest(ValueError):
     """What is wrong with a request, with the status that says so."""
 
-    def __init__(self, text: str, status: int = 400) -> None:
+    def __init__(self, text: str, status: int = 400, headers: tuple[tuple[bytes, bytes], ...] = ()) -> None:
         super().__init__(text)
-        self.status = status
-
-
-class Reader:
-    """Turns the fields of a request into what the module is asked, by the settings' names."""
-
-    def __init__(self, settings: api.Settings) -> None:
-        self.settings = settings
-        self.classes = {c.name.encode(): i for i, c in enumerate(settings.classes)}
-        self.plans = {p.name.encode(): i for i, p in enumerate(settings.plans)}
-        self.terms = lru_cache(1024)(self._terms)   # few are ever told apart
-
-    def read(self, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]],
-             body: bytes | Upload) -> Asked:
-        found: dict[bytes, bytes] = {}
-        options: set[bytes] = set()     # fields that are for this connection only, by the client's word
-        lines = [method + b" " + url + b" HTTP/1.1"]
-        for name, value in headers:
-            if name in ROUTING:
-                if name in found:   # which of them counts would be anybody's guess
-                    raise BadRequest(f"{name.decode()} is given twice")
-                found[name] = value
-            elif name == b"connection":
-                options.update(word.strip().lower() for word in value.split(b","))
-            if name not in NOT_PASSED_ON:
-                lines.append(name + b": " + value)
-        if options:
-            options -= {b"x-txn", b"host"}
-            lines[1:] = [line for line in lines[1:] if line.partition(b":")[0] not in options]
-        self._needed(found, b"host")
-        txn = self._needed(found, b"x-txn")
-        if ID.fullmatch(txn) is None:
-            raise BadRequest("x-txn is not an id")
-        cls = self._known(found, b"x-lane", self.classes)
-        safe = self.settings.classes[cls].effect is api.Effect.SAFE
-        if method != (b"GET" if safe else b"POST"):
-            raise BadRequest("the method is not the class's")
-        if safe and (isinstance(body, Upload) or body):
-            raise BadRequest("a GET has no body here")
-        plan = self._known(found, b"api-plan", self.plans)
-        left = self._needed(found, b"x-remaining-ms")
-        if not left.isdigit() or len(left) > 9 or not 0 < int(left) <= MOST_LEFT_MS:
-            raise BadRequest("x-remaining-ms is not a number of milliseconds")
-        terms = self._needed(found, b"api-terms")
-        if len(terms) > MOST_TERMS:
-            raise BadRequest("api-terms is too long")
-        units, width, first = self.terms(terms)
-        upload = body if isinstance(body, Upload) else None
-        length = len(body) if upload is None else upload.length
-        if not safe:
-            lines.append(b"content-length: %d" % length if length is not None else
-                         b"transfer-encoding: chunked")
-        customer = self._customer(self._needed(found, b"cookie"))
-        return Asked(txn, cls, plan, customer, int(left) / 1000.0, units, width, first,
-                     found.get(b"x-resent") == b"1", not safe, b"\r\n".join(lines) + b"\r\n",
-                     body if upload is None else b"", upload)
-
-    def _needed(self, found: dict[bytes, bytes], name: bytes) -> bytes:
-        if not (value := found.get(name)):
-            raise BadRequest(f"{name.decode()} is missing")
-        return value
-
-    def _known(self, found: dict[bytes, bytes], name: bytes, table: dict[bytes, int]) -> int:
-        if (index := table.get(self._needed(found, name))) is None:
-            raise BadRequest(f"{name.decode()} is none of this site's")
-        return index
-
-    def _customer(self, cookie: bytes) -> int:
-        if ACCOUNT.fullmatch(cookie) is not None and (customer := int(cookie[8:], 16)) < MOST_CUSTOMER:
-            return customer     # the usual form
-        pairs = (part.strip().partition(b"=") for part in cookie.split(b";"))
-        values = [value for name, _, value in pairs if name == b"account"]
-        try:
-            if len(values) == 1 and len(values[0]) == 16 and values[0].isalnum():
-                if (customer := int(values[0], 16)) < MOST_CUSTOMER:
-                    return customer
-        except ValueError:
-            pass
-        raise BadRequest("the cookie names no account")
-
-    def _terms(self, text: bytes) -> tuple[float, float, float]:
-        terms: dict[bytes, float] = {}
-        try:
-            for part in text.split(b","):
-                name, _, value = part.strip().partition(b"=")
-                if name in terms or b"_" in value:
-                    raise BadRequest("api-terms can't be read")
-                terms[name] = float(value)
-            units, width, first = terms[b"units"], terms[b"spread"], terms[b"first"]
-        except (ValueError, KeyError):
-            raise BadRequest("api-terms can't be read") from None
-        most = self.settings.most_units or math.inf
-        whole = width == width // 1 and first == first // 1
-        if not (0.0 < units <= most and 1 <= width <= self.settings.ingresses
-                and 0 <= first < self.settings.ingresses and whole):
-            raise BadRequest("api-terms is out of range")
-        return units, width, first
+        self.status, self.headers = status, headers
 
 
 @dataclass(slots=True, eq=False)
@@ -271,7 +176,7 @@
         if (self.in_head or self.in_body) and not self.fresh:   # a fresh one began within these bytes
             # Guards the memory: a field or trailer without an end is gathered by the parser, unseen here.
             self.taken += len(data)
-            if self.in_head and self.taken > MOST_HEAD:
+            if self.in_head and self.taken > self.server.bounds.head_bytes:
                 self._fault(BadRequest("the head is too long", 431))
             elif self.taken > MOST_TAKEN + flow.FRAMING * self.body_size:
                 self._fault(BadRequest("it has no end", 413))
@@ -298,7 +203,7 @@
         self.in_head, self.in_body = False, True
         if self.deaf:
             return
-        if self.head_size + len(self.method_url) > MOST_HEAD:
+        if self.head_size + len(self.method_url) > self.server.bounds.head_bytes:
             return self._fault(BadRequest("the head is too long", 431))
         length = coding = None
         for name, value in self.headers:
@@ -315,7 +220,7 @@
         if length is not None and (not length.isdigit() or len(length) > 18):
             return self._fault(BadRequest("its length is none"))
         self.length = int(length) if length is not None else None
-        if self.length is not None and self.length > flow.MOST_LARGE:
+        if self.length is not None and self.length > self.server.most_body:
             return self._fault(BadRequest("its body is too large", 413))
         if self.place is self.server.coming:
             self._stand(self.server.coming)     # its body has a time of its own
@@ -331,7 +236,7 @@
         if self.deaf:
             return
         self.body_size += len(body)
-        if self.body_size > flow.MOST_LARGE:
+        if self.body_size > self.server.most_body:
             return self._fault(BadRequest("its body is too large", 413))
         if self.upload is not None:
             return self.upload.feed(body)
@@ -367,8 +272,8 @@
             turn.keep = keep    # until now an answer would have been the last
             self.server.flowing.discard(self)
             self.upload.end()
-        elif self.method_url == b"/ready" and method == b"GET":
-            self._wait(Turn(b"/ready", keep))
+        elif self.method_url == self.server.reader.ready_path and method == b"GET":
+            self._wait(Turn(self.method_url, keep))
         else:
             try:
                 asked = self.server.reader.read(method, self.method_url, self.headers, b"".join(self.body))
@@ -381,7 +286,7 @@
         self.waiting.append(turn)
         if self.open is None and len(self.waiting) <= 1:
             return turn     # the usual client: one at a time
-        behind = sum(len(t.what.body) for t in self.waiting if isinstance(t.what, Asked))
+        behind = sum(len(t.what.body) for t in self.waiting if not isinstance(t.what, BadRequest | bytes))
         if len(self.waiting) > MOST_WAITING or behind > MOST_BEHIND:
             self.waiting.pop()
             self._fault(BadRequest("too many requests at once"))
@@ -412,13 +317,13 @@
             self.turn = self.waiting.popleft()
             what = self.turn.what
             if isinstance(what, BadRequest):
-                self._write(what.status, (), f"{what}\n".encode(), keep=False)
+                self._write(what.status, what.headers, f"{what}\n".encode(), keep=False)
             elif isinstance(what, bytes):
                 status, text = (200, b"ready\n") if self.server.ready else (503, b"not ready\n")
                 self._write(status, (), text, self.turn.keep)
             elif self.server.host.is_open(what.txn):
                 # Guards against a second copy in another's name: an id is new with every request.
-                self.server.host.figures.errored[what.cls] += 1
+                self.server.host.doubled(what)
                 self._write(409, (), b"this id is open\n", keep=False)
             else:
                 self._stand(None)
@@ -430,6 +335,10 @@
                 self.open = request if self.open == -1 else self.open
         self._continue()
 
+    def answered(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
+        """The answer, as it is to go out."""
+        self._answer(status, headers, body)
+
     def served(self, answer: Answer) -> None:
         self._answer(200, [f for f in answer.headers if f[0] not in HOP_BY_HOP], answer.body)
 
@@ -460,7 +369,7 @@
         self.framed = self.chunked or length is not None
         if self.server.draining or not self.framed:
             self.turn.keep = False      # where no length can be told, the end is the connection's
-        lines = [b"HTTP/1.1 200 OK"]
+        lines = [b"HTTP/1.1 %d %b" % (answer.status, REASONS.get(answer.status, b"Answer"))]
         lines += [name + b": " + value for name, value in answer.headers if name not in HOP_BY_HOP]
         if self.chunked:
             lines.append(b"transfer-encoding: chunked")
@@ -519,7 +428,7 @@
 
     def _write(self, status: int, headers, body: bytes, keep: bool) -> None:
         keep = keep and not self.server.draining
-        lines = [b"HTTP/1.1 %d %b" % (status, REASONS[status])]
+        lines = [b"HTTP/1.1 %d %b" % (status, REASONS.get(status, b"Answer"))]
         lines += [name + b": " + value for name, value in headers]
         lines.append(b"content-length: %d" % len(body))
         if not keep:
@@ -560,7 +469,7 @@
         self.server.flowing.discard(self)
         self._stand(None)
         for turn in self.waiting:   # what is at hand, the host drops
-            if isinstance(turn.what, Asked) and turn.what.upload is not None:
+            if not isinstance(turn.what, BadRequest | bytes) and turn.what.upload is not None:
                 turn.what.upload.drop()
         if self.passing is not None:
             self.passing.end()
@@ -610,9 +519,10 @@
 class Server:
     """The listening socket and its connections."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, host: Host, most: int) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, host: Host, most: int, reader: Reader,
+                 bounds: Bounds | None = None) -> None:
         self.loop, self.host, self.most = loop, host, most
-        self.reader = Reader(host.settings)
+        self.reader, self.bounds = reader, bounds or Bounds()
         self.connections: set[ClientConnection] = set()
         # Those without a request that is open, in three lines, the oldest first; the others stand in none.
         self.coming: dict[ClientConnection, None] = {}   # new, or a request has begun to come
@@ -623,6 +533,10 @@
         self.drained_at: float | None = None    # when operators sent the clients away
         self.listener: asyncio.Server | None = None
 
+    @property
+    def most_body(self) -> int:
+        return self.bounds.body_bytes or flow.MOST_LARGE
+
     @property
     def draining(self) -> bool:
         """Whether each answer is the last of its connection."""
@@ -658,7 +572,8 @@
         now = time.monotonic()
         for connection in list(self.flowing):
             connection.check(now)
-        for line, most in ((self.coming, HEAD_TIMEOUT), (self.idle, IDLE_TIMEOUT), (self.leaving, LINGER)):
+        for line, most in ((self.coming, self.bounds.head_time), (self.idle, self.bounds.idle_time),
+                           (self.leaving, LINGER)):
             for connection in list(takewhile(lambda c: c.since < now - most, line)):  # noqa: B023
                 connection.overdue()
         if self.drained_at is not None and now - self.drained_at >= TURN_AWAY:
