--- a/fennelpoint/state.py
+++ b/fennelpoint/state.py
@@ -1,4 +1,4 @@
-"""What one ingress remembers: plain records, which `control.py` fills and reads.
+"""What one ingress remembers: plain records, which the modules that decide fill and read.
 Nothing is decided here."""
 
 from __future__ import annotations
@@ -7,6 +7,7 @@
 from math import inf
 
 from fennelpoint.interface import BackendEntry, BackendState, Request
+from fennelpoint.regions import Flow
 
 
 @dataclass(slots=True, eq=False)
@@ -33,8 +34,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class Customer:
-    key: int
+class Customer(Flow):
     plan: int
     width: float            # ingresses that its requests come through
     share: float            # of the quota, held here
@@ -43,7 +43,6 @@
     filled: float
     total_at: float         # when the last total came
     count_at: float         # when the counter may be called next
-    seen: float = -1e9
     total: float | None = None
     window: float = 0.0     # s that a sparse customer's asks are counted over; 0: it is not sparse
     met: bool = False       # here within that time, before the request at hand
@@ -66,13 +65,6 @@
     ceiling: float = 0.0    # units under the ceiling
     open: int = 0           # attempts out
     held: float = 0.0       # units waiting
-    sent: float = 0.0       # units this period
-    rate: float = 0.0       # average units a second sent
-    ratio: float = 0.0      # average latency over aim
-    ratios: list[float] = field(default_factory=list)  # latencies over aim this period
-    worth: float = 0.0
-    cap: float | None = None    # units a second while it is cut
-    cap_level: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -95,15 +87,3 @@
     picked: list[Backend] | None = None  # backends probed for it
     draw_at: float = 0.0            # when it may draw a cold backend again
     begun_at: float | None = None   # when its large answer began to go out
-
-
-@dataclass(slots=True, eq=False)
-class Cut:
-    """A decision: what each step takes off whom, and how things stood when it was made."""
-
-    takes: list[tuple[Customer, float]]
-    worst: float
-    rates: dict[int, float]
-    lucky: set[int]
-    predicted: float
-    steps: int = 0
--- a/fennelpoint/upkeep.py
+++ b/fennelpoint/upkeep.py
@@ -170,25 +170,12 @@
                 if sent < inf]
 
 
-class Sums:
-    """The sums of a running least-squares fit, in which the past fades."""
-
-    def __init__(self) -> None:
-        self.n = self.x = self.y = self.xx = self.xy = self.yy = 0.0
-
-    def add(self, x: float, y: float, memory: float) -> None:
-        """One more point; `memory` is the weight of those before."""
-        for name, value in (("n", 1.0), ("x", x), ("y", y), ("xx", x * x), ("xy", x * y), ("yy", y * y)):
-            setattr(self, name, getattr(self, name) * memory + value)
-
-
 def fill(c: Customer, plan: api.Plan, depth: float, cap_depth: float, now: float) -> None:
     """Bring a customer's buckets up to now: its slice, its part of the ceiling, its cut."""
     span, c.filled = now - c.filled, now
     c.level = min(max(depth, c.level), c.level + plan.rate * c.share * span)
     c.ceiling = min(plan.ceiling_burst / c.width, c.ceiling + plan.ceiling_rate / c.width * span)
-    if c.cap is not None:
-        c.cap_level = min(cap_depth, c.cap_level + c.cap * span)
+    c.fill_cap(cap_depth, span)
 
 
 def place(backend: object, me: int, ingresses: int) -> float:
--- /dev/null
+++ b/folio/__init__.py
@@ -0,0 +1,1 @@
+"""Folio: the whole gateway, data plane and control plane, as one program."""
--- /dev/null
+++ b/folio/accession/quorum.py
@@ -0,0 +1,143 @@
+"""An acknowledgement that a server is leaving goes out only when a majority of the voters knows of it.
+
+Whichever machine then reads the register through a majority finds the server draining or gone, although
+any minority of those that knew may be lost in the same moment.
+"""
+
+from collections.abc import Hashable, Iterable
+
+import msgspec
+
+from folio.accession.register import PHASES, Phase, Record, Register
+
+WAIT = 0.7  # seconds until a call is told to come back; a server gives up after one second
+AGAIN = 0.2  # seconds after which an unanswered message is sent once more
+KNOWN_FOR = 5.0  # seconds for which a confirmation also speaks for the server's next calls
+
+
+class QuorumError(Exception):
+    """No majority of the voters can be reached, so nothing may be acknowledged."""
+
+
+class Hold(msgspec.Struct, frozen=True, array_like=True, tag="hold"):
+    """Asks a voter to merge a record and to say so."""
+
+    record: Record
+
+
+class Held(msgspec.Struct, frozen=True, array_like=True, tag="held"):
+    """A voter's answer to Hold: what it now has of this server."""
+
+    id: str
+    phase: Phase
+
+
+def answer(hold: Hold, register: Register, now: float) -> Held:
+    """Carry out a voter's part: merge the record into ``register`` and name what is held."""
+    register.join(hold.record, now)
+    record = register.get(hold.record.id, now)
+    # A tombstone too old to be taken in is as good as held: nobody remembers the server as alive.
+    return Held(hold.record.id, hold.record.phase if record is None else record.phase)
+
+
+def majority(count: int) -> int:
+    """How many of ``count`` voters are more than half."""
+    return count // 2 + 1
+
+
+class _Ticket:
+    __slots__ = ("ticket", "record", "voters", "begun", "sent")
+
+    def __init__(self, ticket: Hashable, record: Record, voters: frozenset[str], now: float):
+        self.ticket = ticket
+        self.record = record
+        self.voters = voters
+        self.begun = now
+        self.sent = now
+
+
+class Pending:
+    """Acknowledgements that wait for a majority of the voters. ``me`` is our own address."""
+
+    def __init__(self, me: str):
+        self.me = me
+        self._waiting: dict[Hashable, _Ticket] = {}
+        self._known: dict[str, dict[str, tuple[int, float]]] = {}  # id -> voter -> (phase, when told)
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def begin(
+        self,
+        ticket: Hashable,
+        record: Record,
+        voters: Iterable[str],
+        now: float,
+        reachable: Iterable[str] | None = None,
+    ) -> tuple[list[tuple[str, Hold]], bool]:
+        """Start waiting for a majority to hold ``record``, which our own register holds already.
+
+        Returns the messages to send as (address, Hold), and whether a majority is known to hold it already,
+        in which case ``ticket`` is not kept.  Raises QuorumError when no voters are known, or when those
+        ``reachable`` (None: not known) and ourselves are no majority.
+        """
+        everyone = frozenset(voters)
+        if not everyone:
+            raise QuorumError("no voters are known")
+        if reachable is not None:
+            near = len(everyone.intersection((*reachable, self.me)))
+            if near < majority(len(everyone)):
+                raise QuorumError(f"in touch with {near} of {len(everyone)} voters")
+        entry = _Ticket(ticket, record, everyone, now)
+        holders = self._holders(entry, now)
+        if len(holders) >= majority(len(everyone)):
+            return [], True
+        self._waiting[ticket] = entry
+        hold = Hold(record)
+        return [(voter, hold) for voter in sorted(everyone - holders)], False
+
+    def confirmed(self, voter: str, ident: str, phase: str, now: float) -> list[Hashable]:
+        """A voter says what it holds of a server. Returns the tickets that may now be acknowledged."""
+        self._known.setdefault(ident, {})[voter] = (PHASES[phase], now)
+        done = [
+            entry.ticket
+            for entry in self._waiting.values()
+            if entry.record.id == ident and len(self._holders(entry, now)) >= majority(len(entry.voters))
+        ]
+        for ticket in done:
+            del self._waiting[ticket]
+        return done
+
+    def again(self, now: float) -> list[tuple[str, Hold]]:
+        """Messages to send once more, as links may have lost them."""
+        messages = []
+        for entry in self._waiting.values():
+            if now - entry.sent >= AGAIN:
+                entry.sent = now
+                hold = Hold(entry.record)
+                messages += [(v, hold) for v in sorted(entry.voters - self._holders(entry, now))]
+        return messages
+
+    def expired(self, now: float) -> list[Hashable]:
+        """Tickets that have waited too long: their calls are answered 503. Old confirmations are dropped."""
+        late = [ticket for ticket, entry in self._waiting.items() if now - entry.begun >= WAIT]
+        for ticket in late:
+            del self._waiting[ticket]
+        for ident, told in list(self._known.items()):
+            for voter, (_, at) in list(told.items()):
+                if now - at > KNOWN_FOR:
+                    del told[voter]
+            if not told:
+                del self._known[ident]
+        return late
+
+    def drop(self, ticket: Hashable) -> None:
+        """The caller of this ticket has gone away."""
+        self._waiting.pop(ticket, None)
+
+    def _holders(self, entry: _Ticket, now: float) -> frozenset[str]:
+        rank = PHASES[entry.record.phase]
+        told = self._known.get(entry.record.id, {})
+        holders = {voter for voter, (has, at) in told.items() if has >= rank and now - at <= KNOWN_FOR}
+        holders.add(self.me)
+        return entry.voters.intersection(holders)
--- /dev/null
+++ b/folio/charter/errors.py
@@ -0,0 +1,5 @@
+"""The errors of this layer."""
+
+
+class CharterError(Exception):
+    """Bytes that are no message of this layer, or a contradiction between two chosen entries."""
--- /dev/null
+++ b/folio/charter/messages.py
@@ -0,0 +1,164 @@
+"""What the voters say to each other, and the entries they agree on."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+
+from folio.charter.errors import CharterError
+
+Slot = Annotated[int, msgspec.Meta(ge=0, lt=1 << 62)]
+
+
+class Voter(msgspec.Struct, array_like=True, frozen=True, order=True):
+    """A machine's name on its disk, and the address at which it hears this layer."""
+
+    id: str
+    addr: str
+
+
+class Ballot(msgspec.Struct, array_like=True, frozen=True, order=True):
+    """One attempt at a slot. `node` names the proposer and its life, so no two attempts are equal."""
+
+    round: Slot
+    node: str
+
+
+class Change(msgspec.Struct, tag="change", array_like=True, frozen=True):
+    """A configuration, whole or as a patch; `body` is opaque here, `digest` names its content."""
+
+    tag: str
+    ver: Slot
+    parent: Slot
+    whole: bool
+    body: bytes
+    digest: str
+
+
+class Voters(msgspec.Struct, tag="voters", array_like=True, frozen=True):
+    """The voters from the next slot on."""
+
+    tag: str
+    voters: Annotated[list[Voter], msgspec.Meta(min_length=1)]
+
+
+class Nothing(msgspec.Struct, tag="nothing", array_like=True, frozen=True):
+    """An entry that changes nothing."""
+
+    tag: str
+
+
+Entry = Change | Voters | Nothing
+
+
+class Prepare(msgspec.Struct, tag="c.prepare", array_like=True, frozen=True):
+    slot: Slot
+    ballot: Ballot
+
+
+class Promise(msgspec.Struct, tag="c.promise", array_like=True, frozen=True):
+    """`voter` is the id that promises: an address alone may belong to a machine that lost its disk."""
+
+    slot: Slot
+    ballot: Ballot
+    voter: str
+    accepted: Ballot | None = None
+    entry: Entry | None = None
+
+
+class Refuse(msgspec.Struct, tag="c.refuse", array_like=True, frozen=True):
+    slot: Slot
+    ballot: Ballot
+    voter: str
+    higher: Ballot
+
+
+class Accept(msgspec.Struct, tag="c.accept", array_like=True, frozen=True):
+    slot: Slot
+    ballot: Ballot
+    entry: Entry
+
+
+class Accepted(msgspec.Struct, tag="c.accepted", array_like=True, frozen=True):
+    slot: Slot
+    ballot: Ballot
+    voter: str
+
+
+class Decided(msgspec.Struct, tag="c.decided", array_like=True, frozen=True):
+    """What was accepted at `slot` under `ballot` is chosen; spares those who have it the bytes."""
+
+    slot: Slot
+    ballot: Ballot
+
+
+class Chosen(msgspec.Struct, tag="c.chosen", array_like=True, frozen=True):
+    """Chosen entries for `slot`, `slot` + 1, ...; `last` is the newest slot the sender knows."""
+
+    slot: Slot
+    entries: list[Entry]
+    last: Slot
+
+
+class Behind(msgspec.Struct, tag="c.behind", array_like=True, frozen=True):
+    """Asks for what is chosen from `slot` on; 0 asks for a snapshot, as one who knows no voters."""
+
+    slot: Slot
+
+
+class Snapshot(msgspec.Struct, tag="c.snapshot", array_like=True, frozen=True):
+    """The state after `slot`, and the voters for the slot after it."""
+
+    slot: Slot
+    state: bytes
+    voters: Annotated[list[Voter], msgspec.Meta(min_length=1)]
+
+
+class Peek(msgspec.Struct, tag="c.peek", array_like=True, frozen=True):
+    """Asks whether anything was accepted at `slot`; nothing is promised or written."""
+
+    slot: Slot
+    nonce: Slot
+
+
+class Peeked(msgspec.Struct, tag="c.peeked", array_like=True, frozen=True):
+    slot: Slot
+    nonce: Slot
+    voter: str
+    busy: bool
+
+
+class Knock(msgspec.Struct, tag="c.knock", array_like=True, frozen=True):
+    """`voter` would like to vote, and knows what was chosen up to `slot`."""
+
+    voter: Voter
+    slot: Slot
+
+
+class Resign(msgspec.Struct, tag="c.resign", array_like=True, frozen=True):
+    """A voter without a disk of its own would rather not vote."""
+
+    voter: Voter
+
+
+Message = (
+    Prepare | Promise | Refuse | Accept | Accepted | Decided | Chosen | Behind | Snapshot
+    | Peek | Peeked | Knock | Resign
+)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Message)
+
+
+def encode(message: Message) -> bytes:
+    """The bytes of a message."""
+    return _encoder.encode(message)
+
+
+def decode(data: bytes) -> Message:
+    """The message in `data`; CharterError when there is none."""
+    try:
+        return _decoder.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise CharterError(f"no message: {error}") from None
--- /dev/null
+++ b/folio/charter/node.py
@@ -0,0 +1,768 @@
+"""One party to the agreement: acceptor, proposer and learner, with no leader among them.
+
+Slots are chosen one after the other. The voters for a slot are those in force after the slot before it,
+and a voter votes at a slot only when it knows all earlier ones, so that whatever a majority has accepted
+stands on everything chosen before.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from random import Random
+from typing import Any, Protocol
+
+import msgspec
+
+from folio.charter import voters as policy
+from folio.charter.errors import CharterError
+from folio.charter.messages import (
+    Accept,
+    Accepted,
+    Ballot,
+    Behind,
+    Change,
+    Chosen,
+    Decided,
+    Entry,
+    Knock,
+    Message,
+    Nothing,
+    Peek,
+    Peeked,
+    Prepare,
+    Promise,
+    Refuse,
+    Resign,
+    Snapshot,
+    Voter,
+    Voters,
+)
+from folio.charter.records import (
+    Answer,
+    Apply,
+    Durable,
+    Effect,
+    Fresh,
+    Learned,
+    Persist,
+    Promised,
+    Record,
+    Saved,
+    Send,
+    Taken,
+    Unclear,
+    Vote,
+    Voted,
+)
+
+_HANDLERS = {
+    Prepare: "_on_prepare",
+    Promise: "_on_promise",
+    Refuse: "_on_refuse",
+    Accept: "_on_accept",
+    Accepted: "_on_accepted",
+    Decided: "_on_decided",
+    Chosen: "_on_chosen",
+    Behind: "_on_behind",
+    Snapshot: "_on_snapshot",
+    Peek: "_on_peek",
+    Peeked: "_on_peeked",
+    Knock: "_on_knock",
+    Resign: "_on_resign",
+}
+_UNJUDGED = object()
+_NEVER = float("inf")
+
+
+class Machine(Protocol):
+    """The state that the log builds; called in order, within `handle`, `tick` and `submit`."""
+
+    def apply(self, slot: int, entry: Entry) -> None:
+        """Take over a chosen entry; must do the same on every machine."""
+
+    def take(self) -> bytes:
+        """The state as bytes."""
+
+    def give(self, state: bytes) -> None:
+        """Replace the state by one that `take` gave; b"" is the state before the first slot."""
+
+
+Judge = Callable[[Any], Any]
+
+
+class Timing(msgspec.Struct, frozen=True):
+    """Waits in seconds, and how much of the log is kept."""
+
+    resend: float = 0.12
+    resend_cap: float = 0.5
+    backoff: float = 0.02
+    backoff_cap: float = 0.4
+    patience: float = 4.0
+    poll: float = 0.5
+    orphan: float = 0.25
+    knock: float = 0.3
+    replace_after: float = 1.2
+    evict_after: float = 2.0
+    turn: float = 0.2
+    keep: int = 64
+    keep_bytes: int = 4 << 20
+    run_bytes: int = 1 << 20
+
+
+class _Pending:
+    """A ticket that waits: a read if it has no judge."""
+
+    __slots__ = ("ticket", "judge", "seq", "deadline", "confirmed", "at", "verdict", "tags", "proposed")
+
+    def __init__(self, ticket: Any, judge: Judge | None, seq: int, deadline: float) -> None:
+        self.ticket, self.judge, self.seq, self.deadline = ticket, judge, seq, deadline
+        self.confirmed = False
+        self.at = -1
+        self.verdict: Any = _UNJUDGED
+        self.tags: set[str] = set()
+        self.proposed = 0
+
+
+class _Round:
+    """A question put to all voters of a slot: a peek, a prepare or an accept."""
+
+    __slots__ = ("slot", "message", "ballot", "seq", "voters", "need", "got", "refused", "busy", "entry",
+                 "due", "gap")
+
+    def __init__(self, slot: int, message: Peek | Prepare, seq: int, voters: list[Voter]) -> None:
+        self.slot, self.message, self.seq = slot, message, seq
+        self.ballot = message.ballot if isinstance(message, Prepare) else None
+        self.voters = {voter.id: voter.addr for voter in voters}
+        self.need = len(self.voters) // 2 + 1
+        self.got: dict[str, Any] = {}
+        self.refused: set[str] = set()
+        self.busy = False
+        self.entry: Entry | None = None
+        self.due = self.gap = 0.0
+
+
+class Node:
+    """All that one machine decides about the log.
+
+    `machine` holds the applied state, `durable` what the disk gave back (with an id, see
+    `voters.settle`), `contacts` the addresses to ask while no voters are known. `voting` says whether
+    this machine wants to vote, `survive` how many machines may be lost at once.
+    """
+
+    def __init__(
+        self,
+        me: Voter,
+        durable: Durable,
+        machine: Machine,
+        rng: Random,
+        timing: Timing | None = None,
+        *,
+        voting: bool = True,
+        survive: int = 1,
+        contacts: Iterable[str] = (),
+    ) -> None:
+        self.me = me
+        self.machine = machine
+        self.timing = timing or Timing()
+        self.voting = voting
+        self.survive = survive
+        self.contacts = list(contacts)
+        self.listeners: list[str] = []
+        self.last = 0
+        self.voters: list[Voter] = []
+        self.next_tick = 0.0
+        self.failures = 0
+        self._rng = rng
+        self._name = f"{me.id}~{rng.getrandbits(64):016x}"
+        self._log: dict[int, Entry] = {}
+        self._log_bytes = 0
+        self._first = 1
+        self._saved_at = 0
+        self._blob: tuple[int, bytes] | None = None
+        self._floor = durable.floor
+        self._votes: dict[int, Vote] = {}
+        self._vote_since = 0.0
+        self._unsaved: list[Record] = []
+        self._unsaved_due = _NEVER
+        self._pending: list[_Pending] = []
+        self._seq = 0
+        self._round: _Round | None = None
+        self._high = 0
+        self._tries = 0
+        self._busy_peeks = 0
+        self._hold = 0.0
+        self._clock: float | None = None
+        self._heard: dict[str, float] = {}
+        self._knockers: dict[str, tuple[Voter, float]] = {}
+        self._resigning: dict[str, float] = {}
+        self._asked = -1.0
+        self._poll_due = self._knock_due = self._contact_due = 0.0
+        self._turn: tuple[list[Voter], float] | None = None
+        self._recover(durable)
+
+    def _recover(self, durable: Durable) -> None:
+        saved = durable.saved
+        if saved is not None:
+            self.machine.give(saved.state)
+            self.last = self._saved_at = saved.slot
+            self._first = saved.slot + 1
+            self.voters = list(saved.voters)
+            # Entries before the saved state only serve those who are a little behind.
+            while self._first - 1 in durable.chosen:
+                self._first -= 1
+                self._keep_entry(self._first, durable.chosen[self._first])
+            while self.last + 1 in durable.chosen:
+                self._take_entry(self.last + 1, durable.chosen[self.last + 1])
+        self._votes = {slot: vote for slot, vote in durable.votes.items() if slot > self.last}
+
+    # What the owner calls
+
+    def handle(self, sender: str, message: Message, now: float) -> list[Effect]:
+        """Take a message that came from `sender`."""
+        out: list[Effect] = []
+        self._set_clock(now)
+        self._heard[sender] = now
+        getattr(self, _HANDLERS[type(message)])(sender, message, out)
+        self._advance(out)
+        return self._done(out)
+
+    def submit(self, ticket: Any, judge: Judge, now: float, patience: float | None = None) -> list[Effect]:
+        """Have an entry chosen.
+
+        `judge(machine)` looks at the applied state and returns the Entry to propose, always with the
+        same tag, or else a verdict, which is the ticket's outcome once the state it rests on is known to
+        be current. It is asked again after each slot that another entry takes. The outcome is Unclear
+        after `patience` seconds.
+        """
+        return self._enqueue(ticket, judge, now, patience)
+
+    def read(self, ticket: Any, now: float, patience: float | None = None) -> list[Effect]:
+        """Answer Fresh once the applied state holds all that was acknowledged before this call."""
+        return self._enqueue(ticket, None, now, patience)
+
+    def drop(self, ticket: Any) -> None:
+        """Forget a ticket; what was proposed for it may still be chosen."""
+        self._pending = [pending for pending in self._pending if pending.ticket != ticket]
+
+    def heard(self, addr: str, now: float) -> None:
+        """Another layer heard from the machine that has this address."""
+        self._heard[addr] = max(now, self._heard.get(addr, now))
+
+    def hint(self, addr: str, last: int, now: float) -> list[Effect]:
+        """Another layer heard that the machine at `addr` knows the slots up to `last`."""
+        self._set_clock(now)
+        self._heard[addr] = now
+        out: list[Effect] = []
+        if last > self.last or not self.voters:
+            self._ask(addr, out)
+        return out
+
+    def failed(self, persist: Persist, now: float) -> None:
+        """A Persist could not be written: what it held of chosen entries is written with the next one."""
+        self._set_clock(now)
+        self.failures += 1
+        self._unsaved += [r for r in persist.records if isinstance(r, Learned | Saved)]
+        states = [at for at, record in enumerate(self._unsaved) if isinstance(record, Saved)]
+        if states:
+            self._unsaved = self._unsaved[states[-1] :]
+        if self._unsaved:
+            self._unsaved_due = now + self.timing.resend_cap
+
+    def tick(self, now: float) -> list[Effect]:
+        """Do what is due; `next_tick` then tells when the next call is needed at the latest."""
+        out: list[Effect] = []
+        self._set_clock(now)
+        self._expire(out)
+        self._resend(out)
+        if self._unsaved and now >= self._unsaved_due:
+            self._persist([], [], out)
+        if self.voters:
+            self._finish_orphan(out)
+            self._poll(out)
+            self._ask_for_seat(out)
+            self._mind_voters(out)
+        elif now >= self._contact_due:
+            self._contact_due = now + self.timing.knock * self._jitter()
+            out += [Send(addr, Behind(0)) for addr in self.contacts if addr != self.me.addr]
+        self._advance(out)
+        return self._done(out)
+
+    # Time
+
+    def _set_clock(self, now: float) -> None:
+        # After a freeze everyone seems silent, though it was this machine that did not listen.
+        if self._clock is None or now - self._clock > 1.0:
+            self._heard = {voter.addr: now for voter in self.voters}
+            self._turn = None
+            if self._clock is None:
+                self._vote_since = now - self.timing.orphan * 0.8
+        self._clock = now
+
+    def _jitter(self) -> float:
+        return self._rng.uniform(0.8, 1.2)
+
+    def _silence(self, addr: str) -> float:
+        if addr == self.me.addr:
+            return 0.0
+        return self._clock - self._heard.setdefault(addr, self._clock)
+
+    def _done(self, out: list[Effect]) -> list[Effect]:
+        due = [self._poll_due if self.voters else self._contact_due, self._unsaved_due]
+        due += [pending.deadline for pending in self._pending]
+        if self._round is not None:
+            due.append(self._round.due)
+        else:
+            if self._pending and self.voters:
+                due.append(max(self._hold, self._clock + 0.001))
+            if self._orphan() is not None:
+                due.append(max(self._hold, self._vote_since + self.timing.orphan))
+        if self._turn is not None:
+            due.append(self._turn[1])
+        if self.voters and (self.me in self.voters) is not self.voting:
+            due.append(self._knock_due)
+        self.next_tick = min(due)
+        return out
+
+    # Tickets
+
+    def _enqueue(self, ticket: Any, judge: Judge | None, now: float, patience: float | None) -> list[Effect]:
+        self._set_clock(now)
+        out: list[Effect] = []
+        self._seq += 1
+        deadline = now + (self.timing.patience if patience is None else patience)
+        self._pending.append(_Pending(ticket, judge, self._seq, deadline))
+        self._advance(out)
+        return self._done(out)
+
+    def _expire(self, out: list[Effect]) -> None:
+        late = [pending for pending in self._pending if pending.deadline <= self._clock]
+        for pending in late:
+            self._settle(pending, Unclear(), out)
+        if late and not self._pending and self._round is not None and self._round.entry is None:
+            self._round = None
+
+    def _settle(self, pending: _Pending, outcome: Any, out: list[Effect]) -> None:
+        self._pending.remove(pending)
+        if pending.ticket is not None:
+            out.append(Answer(pending.ticket, outcome))
+
+    def _judge(self, pending: _Pending) -> Any:
+        if pending.at != self.last:
+            pending.at = self.last
+            pending.verdict = pending.judge(self.machine)
+            if isinstance(pending.verdict, Change | Voters | Nothing):
+                pending.tags.add(pending.verdict.tag)
+        return pending.verdict
+
+    def _candidate(self) -> _Pending | None:
+        for pending in self._pending:
+            if pending.judge and isinstance(self._judge(pending), Change | Voters | Nothing):
+                return pending
+        return None
+
+    def _advance(self, out: list[Effect]) -> None:
+        """Answer the tickets that can be answered, and put the next question if one is needed."""
+        if not self.voters or not self._pending:
+            return
+        unconfirmed = False
+        for pending in list(self._pending):
+            outcome = Fresh(self.last) if pending.judge is None else self._judge(pending)
+            if not isinstance(outcome, Change | Voters | Nothing):
+                if pending.confirmed:
+                    self._settle(pending, outcome, out)
+                else:
+                    unconfirmed = True
+        candidate = self._candidate()
+        peeking = self._round is not None and self._round.ballot is None
+        if self._clock < self._hold or (self._round is not None and not (peeking and candidate)):
+            return
+        if candidate is not None or (unconfirmed and self._busy_peeks >= 2):
+            self._start_ballot(out)
+        elif unconfirmed:
+            self._start(Peek(self.last + 1, self._rng.getrandbits(60)), out)
+
+    def _confirm(self, seq: int) -> None:
+        for pending in self._pending:
+            if pending.seq <= seq:
+                pending.confirmed = True
+
+    # Proposing
+
+    def _start_ballot(self, out: list[Effect]) -> None:
+        self._high += 1
+        self._start(Prepare(self.last + 1, Ballot(self._high, self._name)), out)
+
+    def _start(self, message: Peek | Prepare, out: list[Effect]) -> None:
+        self._round = _Round(self.last + 1, message, self._seq, self.voters)
+        self._ask_all(out)
+
+    def _ask_all(self, out: list[Effect]) -> None:
+        current = self._round
+        current.gap = self.timing.resend
+        current.due = self._clock + current.gap * self._jitter()
+        out += [Send(addr, current.message) for addr in current.voters.values()]
+
+    def _resend(self, out: list[Effect]) -> None:
+        current = self._round
+        if current is None or self._clock < current.due:
+            return
+        if current.refused:
+            # Those who have not answered may never do so: a higher ballot can do without them.
+            self._back_off()
+            return
+        current.gap = min(current.gap * 1.5, self.timing.resend_cap)
+        current.due = self._clock + current.gap * self._jitter()
+        out += [Send(a, current.message) for v, a in current.voters.items() if v not in current.got]
+
+    def _back_off(self) -> None:
+        self._round = None
+        self._tries += 1
+        most = min(self.timing.backoff_cap, self.timing.backoff * 2**self._tries)
+        self._hold = self._clock + self._rng.uniform(0.2, 1.0) * most
+
+    def _answers(self, message: Any, kind: type) -> _Round | None:
+        """The round that `message` answers, if it is still open."""
+        current = self._round
+        if current is None or not isinstance(current.message, kind) or current.slot != message.slot:
+            return None
+        return current if message.voter in current.voters else None
+
+    def _on_promise(self, sender: str, message: Promise, out: list[Effect]) -> None:
+        current = self._answers(message, Prepare)
+        if current is None or message.ballot != current.ballot:
+            return
+        current.got[message.voter] = message
+        if len(current.got) < current.need:
+            return
+        self._confirm(current.seq)
+        held = [promise for promise in current.got.values() if promise.accepted is not None]
+        candidate = self._candidate()
+        orphan = self._orphan()
+        if held:
+            current.entry = max(held, key=lambda promise: promise.accepted).entry
+        elif candidate is not None:
+            current.entry = candidate.verdict
+        elif orphan is not None:
+            # Our own vote came too late to be among the promises. Any entry is free here, and this one
+            # would otherwise stay in doubt.
+            current.entry = orphan.entry
+        else:
+            self._round = None
+            self._busy_peeks = 0
+            return
+        for pending in self._pending:
+            if current.entry.tag in pending.tags:
+                pending.proposed = current.slot
+        current.message = Accept(current.slot, current.ballot, current.entry)
+        current.got, current.refused = {}, set()
+        self._ask_all(out)
+
+    def _on_refuse(self, sender: str, message: Refuse, out: list[Effect]) -> None:
+        if message.slot == self.last + 1:
+            self._high = max(self._high, message.higher.round)
+        current = self._answers(message, Prepare | Accept)
+        if current is None or message.ballot != current.ballot or message.voter in current.got:
+            return
+        current.refused.add(message.voter)
+        if len(current.voters) - len(current.refused) < current.need:
+            self._back_off()
+
+    def _on_accepted(self, sender: str, message: Accepted, out: list[Effect]) -> None:
+        current = self._answers(message, Accept)
+        if current is None or message.ballot != current.ballot:
+            return
+        current.got[message.voter] = message
+        if len(current.got) < current.need:
+            return
+        self._learn([current.entry], out)
+        # The voters were all sent the entry; one that missed it asks.
+        have = set(current.voters.values())
+        short = Decided(current.slot, current.ballot)
+        full = Chosen(current.slot, [current.entry], current.slot)
+        others = have | {voter.addr for voter in self.voters} | set(self.listeners)
+        for addr in sorted(others - {self.me.addr}):
+            out.append(Send(addr, short if addr in have else full))
+
+    def _on_peeked(self, sender: str, message: Peeked, out: list[Effect]) -> None:
+        current = self._answers(message, Peek)
+        if current is None or message.nonce != current.message.nonce:
+            return
+        current.got[message.voter] = message
+        current.busy = current.busy or message.busy
+        if len(current.got) < current.need:
+            return
+        self._round = None
+        if current.busy:
+            # Someone is about to finish this slot; only if it stays so is it for us to do.
+            self._busy_peeks += 1
+            self._hold = self._clock + self.timing.backoff * self._jitter()
+        else:
+            self._busy_peeks = 0
+            self._confirm(current.seq)
+
+    # Accepting
+
+    def _may_vote(self, sender: str, slot: int, out: list[Effect]) -> bool:
+        if not self.voters or slot > self.last + 1:
+            self._ask(sender, out)
+            return False
+        if slot <= self.last:
+            self._tell(sender, slot, out)
+            return False
+        if slot <= self._floor and slot not in self._votes:
+            self._ask(sender, out)
+            return False
+        return True
+
+    def _on_prepare(self, sender: str, message: Prepare, out: list[Effect]) -> None:
+        if not self._may_vote(sender, message.slot, out):
+            return
+        vote = self._votes.setdefault(message.slot, Vote())
+        if vote.promised is not None and message.ballot < vote.promised:
+            out.append(Send(sender, Refuse(message.slot, message.ballot, self.me.id, vote.promised)))
+            return
+        vote.promised = message.ballot
+        self._high = max(self._high, message.ballot.round)
+        self._vote_since = self._clock
+        promise = Promise(message.slot, message.ballot, self.me.id, vote.accepted, vote.entry)
+        self._persist([Promised(message.slot, message.ballot)], [Send(sender, promise)], out)
+
+    def _on_accept(self, sender: str, message: Accept, out: list[Effect]) -> None:
+        if not self._may_vote(sender, message.slot, out):
+            return
+        vote = self._votes.setdefault(message.slot, Vote())
+        if vote.promised is not None and message.ballot < vote.promised:
+            out.append(Send(sender, Refuse(message.slot, message.ballot, self.me.id, vote.promised)))
+            return
+        vote.promised = vote.accepted = message.ballot
+        vote.entry = message.entry
+        self._vote_since = self._clock
+        accepted = Accepted(message.slot, message.ballot, self.me.id)
+        self._persist(
+            [Voted(message.slot, message.ballot, message.entry)], [Send(sender, accepted)], out
+        )
+
+    def _on_peek(self, sender: str, message: Peek, out: list[Effect]) -> None:
+        if self._may_vote(sender, message.slot, out):
+            vote = self._votes.get(message.slot)
+            busy = vote is not None and vote.accepted is not None
+            out.append(Send(sender, Peeked(message.slot, message.nonce, self.me.id, busy)))
+
+    def _persist(self, records: list[Record], then: list[Send], out: list[Effect]) -> None:
+        out.append(Persist(self._unsaved + records, then))
+        self._unsaved = []
+        self._unsaved_due = _NEVER
+
+    # Learning
+
+    def _keep_entry(self, slot: int, entry: Entry) -> None:
+        self._log[slot] = entry
+        self._log_bytes += _size(entry)
+
+    def _take_entry(self, slot: int, entry: Entry) -> None:
+        self._keep_entry(slot, entry)
+        self.last = slot
+        self._floor = max(self._floor, slot)
+        self._votes = {s: vote for s, vote in self._votes.items() if s > slot}
+        self.machine.apply(slot, entry)
+        if isinstance(entry, Voters):
+            self.voters = list(entry.voters)
+
+    def _learn(self, entries: list[Entry], out: list[Effect]) -> None:
+        """Apply the entries that follow on what is known, and answer those who asked for them."""
+        records: list[Record] = []
+        for entry in entries:
+            self._take_entry(self.last + 1, entry)
+            records.append(Learned(self.last, entry))
+            out.append(Apply(self.last, entry))
+            for pending in [p for p in self._pending if entry.tag in p.tags]:
+                self._settle(pending, Taken(self.last), out)
+        self._moved()
+        saved = self._compact()
+        self._persist(records + saved, [], out)
+
+    def _moved(self) -> None:
+        self._round = None
+        self._high = self._tries = self._busy_peeks = 0
+        self._hold = 0.0
+        self._turn = None
+
+    def _compact(self) -> list[Record]:
+        """A saved state, once the log has grown enough since the last one."""
+        timing = self.timing
+        if self.last - self._saved_at < timing.keep // 2 and self._log_bytes <= timing.keep_bytes:
+            return []
+        while self._first <= self.last and (
+            self.last - self._first >= timing.keep or self._log_bytes > timing.keep_bytes // 2
+        ):
+            self._log_bytes -= _size(self._log.pop(self._first))
+            self._first += 1
+        self._saved_at = self.last
+        return [Saved(self.last, self._state(), self.voters, self._first)]
+
+    def _state(self) -> bytes:
+        if self._blob is None or self._blob[0] != self.last:
+            self._blob = (self.last, self.machine.take())
+        return self._blob[1]
+
+    def _ask(self, addr: str, out: list[Effect]) -> None:
+        if addr == self.me.addr or self._clock - self._asked < 0.03:
+            return
+        self._asked = self._clock
+        out.append(Send(addr, Behind(self.last + 1 if self.voters else 0)))
+
+    def _tell(self, addr: str, slot: int, out: list[Effect]) -> None:
+        if slot < self._first:
+            out.append(Send(addr, Snapshot(self.last, self._state(), self.voters)))
+            return
+        run: list[Entry] = []
+        size = 0
+        for at in range(slot, self.last + 1):
+            size += _size(self._log[at])
+            if run and size > self.timing.run_bytes:
+                break
+            run.append(self._log[at])
+        out.append(Send(addr, Chosen(slot, run, self.last)))
+
+    def _on_decided(self, sender: str, message: Decided, out: list[Effect]) -> None:
+        if message.slot <= self.last:
+            return
+        vote = self._votes.get(message.slot)
+        if message.slot == self.last + 1 and vote is not None and vote.accepted == message.ballot:
+            self._learn([vote.entry], out)
+        else:
+            self._ask(sender, out)
+
+    def _on_chosen(self, sender: str, message: Chosen, out: list[Effect]) -> None:
+        if not self.voters or message.slot > self.last + 1:
+            self._ask(sender, out)
+            return
+        for slot, entry in enumerate(message.entries[: self.last + 1 - message.slot], message.slot):
+            if slot in self._log and self._log[slot].tag != entry.tag:
+                raise CharterError(f"two entries chosen at slot {slot}")
+        fresh = message.entries[self.last + 1 - message.slot :]
+        if fresh:
+            self._asked = -1.0
+            self._learn(fresh, out)
+        if message.last > self.last:
+            self._ask(sender, out)
+
+    def _on_behind(self, sender: str, message: Behind, out: list[Effect]) -> None:
+        if not self.voters:
+            return
+        if message.slot == 0:
+            out.append(Send(sender, Snapshot(self.last, self._state(), self.voters)))
+        elif message.slot <= self.last:
+            self._tell(sender, message.slot, out)
+        elif message.slot > self.last + 1:
+            self._ask(sender, out)
+        current = self._round
+        if current is not None and message.slot <= self.last:
+            # A voter that could not vote yet is asked anew, behind what it lacked.
+            out += [
+                Send(addr, current.message)
+                for voter, addr in current.voters.items()
+                if addr == sender and voter not in current.got
+            ]
+
+    def _on_snapshot(self, sender: str, message: Snapshot, out: list[Effect]) -> None:
+        if self.voters and message.slot <= self.last:
+            return
+        self.machine.give(message.state)
+        self.last = self._saved_at = message.slot
+        self._first = message.slot + 1
+        self._log, self._log_bytes = {}, 0
+        self._blob = None
+        self._floor = max(self._floor, message.slot)
+        self.voters = list(message.voters)
+        self._votes = {slot: vote for slot, vote in self._votes.items() if slot > message.slot}
+        self._moved()
+        self._asked = -1.0
+        self._persist([Saved(self.last, message.state, self.voters, self._first)], [], out)
+        out.append(Apply(self.last, None))
+        # Whether an entry of ours was among those skipped cannot be seen from here.
+        for pending in [p for p in self._pending if 0 < p.proposed <= self.last]:
+            self._settle(pending, Unclear(), out)
+
+    # Upkeep
+
+    def _orphan(self) -> Vote | None:
+        """Our own vote at the next slot, if there is one."""
+        vote = self._votes.get(self.last + 1)
+        return vote if vote is not None and vote.accepted is not None else None
+
+    def _finish_orphan(self, out: list[Effect]) -> None:
+        """Carry to its end a ballot whose proposer seems to be gone: it may have acknowledged it."""
+        if self._orphan() is None or self._round is not None or self._clock < self._hold:
+            return
+        if self._clock >= self._vote_since + self.timing.orphan:
+            self._vote_since = self._clock + self._rng.uniform(0.0, 0.2)
+            self._start_ballot(out)
+
+    def _poll(self, out: list[Effect]) -> None:
+        if self._clock < self._poll_due:
+            return
+        others = [voter.addr for voter in self.voters if voter.addr != self.me.addr]
+        at_start = self._poll_due == 0.0
+        self._poll_due = self._clock + self.timing.poll * self._jitter()
+        if others:
+            asked = others if at_start else [self._rng.choice(others)]
+            out += [Send(addr, Behind(self.last + 1)) for addr in asked]
+
+    def _ask_for_seat(self, out: list[Effect]) -> None:
+        seated = self.me in self.voters
+        if seated is self.voting or self._clock < self._knock_due:
+            return
+        self._knock_due = self._clock + self.timing.knock * self._jitter()
+        message = Resign(self.me) if seated else Knock(self.me, self.last)
+        out += [Send(voter.addr, message) for voter in self.voters if voter.addr != self.me.addr]
+
+    def _on_knock(self, sender: str, message: Knock, out: list[Effect]) -> None:
+        if self.voters and message.slot < self.last:
+            self._tell(sender, max(message.slot, 0) + 1, out)
+        if self.voters and message.slot >= self.last - 4:
+            self._knockers[message.voter.addr] = (message.voter, self._clock)
+            self._mind_voters(out)
+
+    def _on_resign(self, sender: str, message: Resign, out: list[Effect]) -> None:
+        self._resigning[message.voter.id] = self._clock
+
+    def _wanted(self) -> list[Voter] | None:
+        # One that knocked and fell silent would be a voter who does not vote.
+        recent = self._clock - 2.5 * self.timing.knock
+        self._knockers = {a: pair for a, pair in self._knockers.items() if pair[1] >= recent}
+        self._resigning = {i: when for i, when in self._resigning.items() if when >= recent}
+        return policy.propose(
+            self.voters,
+            [voter for voter, _ in self._knockers.values() if voter not in self.voters],
+            self._resigning,
+            self._silence,
+            self.survive,
+            self.timing.replace_after,
+            self.timing.evict_after,
+        )
+
+    def _mind_voters(self, out: list[Effect]) -> None:
+        """Propose the next change of voters when it is this node's turn."""
+        if self.me not in self.voters or self.me.id in self._resigning:
+            return
+        wanted = self._wanted()
+        if wanted is None or any(pending.ticket is None for pending in self._pending):
+            self._turn = None
+            return
+        if self._turn is None or self._turn[0] != wanted:
+            before = policy.rank(self.voters, self.me, self._silence, self.timing.replace_after)
+            wait = (before + self._rng.uniform(0.0, 0.5)) * self.timing.turn * (before > 0)
+            self._turn = (wanted, self._clock + wait)
+        if self._clock >= self._turn[1]:
+            self._turn = None
+            tag = f"voters/{self._name}/{self._rng.getrandbits(32):08x}"
+            out += self._enqueue(None, lambda _: self._voters_entry(tag), self._clock, 2.0)
+
+    def _voters_entry(self, tag: str) -> Entry | None:
+        wanted = self._wanted()
+        return Voters(tag, wanted) if wanted is not None else None
+
+
+def _size(entry: Entry) -> int:
+    return 200 + (len(entry.body) if isinstance(entry, Change) else 0)
--- /dev/null
+++ b/folio/charter/voters.py
@@ -0,0 +1,98 @@
+"""Who votes: the founders, and how one machine at a time is let in or struck off."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection, Sequence
+from random import Random
+
+from folio.charter.messages import Voter
+from folio.charter.records import Durable, Identity, Record, Saved
+
+
+def settle(
+    durable: Durable, addr: str, seeds: Sequence[str], bootstrap: bool, rng: Random
+) -> list[Record]:
+    """Give a machine with an empty disk its id, changing `durable`.
+
+    At the first start the seeds are the founders. Anyone else, and anyone who lost its disk, draws a new
+    id, since its old name made promises that it no longer knows.
+
+    Returns the records to be on disk before the machine says anything; empty if it has an id.
+    """
+    if durable.id is not None:
+        return []
+    founders = [Voter(f"genesis/{seed}", seed) for seed in sorted(set(seeds))]
+    records: list[Record] = []
+    if bootstrap and addr in seeds:
+        durable.id = f"genesis/{addr}"
+        durable.saved = Saved(0, b"", founders, 1)
+        records.append(durable.saved)
+    else:
+        durable.id = f"{rng.getrandbits(96):024x}"
+    records.insert(0, Identity(durable.id))
+    return records
+
+
+def propose(
+    voters: Sequence[Voter],
+    knockers: Collection[Voter],
+    resigning: Collection[str],
+    silence: Callable[[str], float],
+    survive: int,
+    replace_after: float,
+    evict_after: float,
+) -> list[Voter] | None:
+    """The next set of voters, one change away from `voters`, or None if it is right as it is.
+
+    `resigning` holds ids; `silence` gives the seconds since an address was last heard. Nothing is
+    proposed unless majorities of the old and of the new voters are within earshot.
+    """
+    knocking = {knocker.addr: 0.0 for knocker in knockers}
+
+    def quiet(voter: Voter) -> float:
+        return silence(voter.addr)
+
+    if not _alive(voters, quiet, replace_after):
+        return None
+    ids = {voter.id for voter in voters}
+    for knocker in sorted(knockers, key=lambda voter: (voter.addr, voter.id)):
+        if knocker.id in ids and knocker in voters:
+            continue
+        going = _place_of(voters, knocker, resigning, quiet, replace_after)
+        new = sorted([voter for voter in voters if voter not in going] + [knocker])
+        if _alive(new, lambda voter: knocking.get(voter.addr, quiet(voter)), replace_after):
+            return new
+    least = max(3, 2 * survive + 1)
+    gone = [v for v in voters if v.id in resigning or quiet(v) > evict_after]
+    if gone and len(voters) - 1 >= least:
+        worst = max(gone, key=lambda voter: (quiet(voter), voter))
+        new = sorted(voter for voter in voters if voter != worst)
+        if _alive(new, quiet, replace_after):
+            return new
+    return None
+
+
+def _place_of(
+    voters: Sequence[Voter],
+    knocker: Voter,
+    resigning: Collection[str],
+    quiet: Callable[[Voter], float],
+    replace_after: float,
+) -> list[Voter]:
+    """The voters whose place the knocker takes: its own former self, or one that is of no use."""
+    same = [voter for voter in voters if voter.id == knocker.id or voter.addr == knocker.addr]
+    if same:
+        return same
+    leaving = [voter for voter in voters if voter.id in resigning]
+    silent = [voter for voter in voters if quiet(voter) > replace_after]
+    useless = silent or leaving
+    return [max(useless, key=lambda voter: (quiet(voter), voter))] if useless else []
+
+
+def _alive(voters: Sequence[Voter], quiet: Callable[[Voter], float], limit: float) -> bool:
+    return 2 * sum(quiet(voter) <= limit for voter in voters) > len(voters)
+
+
+def rank(voters: Sequence[Voter], me: Voter, silence: Callable[[str], float], limit: float) -> int:
+    """How many voters within earshot come before `me` in the order of addresses."""
+    return sum(voter.addr < me.addr and silence(voter.addr) <= limit for voter in voters)
--- /dev/null
+++ b/folio/circulation/clerk.py
@@ -0,0 +1,345 @@
+"""Decisions on a request between admission and answer: which server, whether again, when to give up.
+
+Clock-free: events go in with the time they happened, actions come out, as with `fennelpoint.control`.  A request
+is sent to a server of its route's service; what was not run is tried elsewhere, what may have run only if it is
+safe, both within the route's tries and the retry budget; and what is given up is answered at once.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from math import inf
+from random import Random
+
+from fennelpoint.interface import Status
+from folio.accession.register import Record
+from folio.catalogue.routing import Route
+from folio.lending.admission import Admission
+from folio.lending.budget import RetryBudget
+
+FIRST_GUESS = 0.3       # of a route's target: the time its work takes, before any answer
+LEARN, LEARN_SLOW = 0.15, 0.2   # weights of an answer in what a kind of work takes, and in a server's speed
+FAST, SLOW = 0.4, 4.0   # bounds of a server's slowness against others
+LOAD_HALF = 0.25        # s for what a server told of its load to count half
+REST, REST_MOST = 0.25, 4.0     # s that a server rests after failures in a row: first, most
+FULL_REST = 0.05        # s that nothing more is sent to a server that turned a request away
+COLD = 2.0              # how much slower a server is taken for while it says that it warms up
+FAR = 0.35              # of the work of a request: the price of a server in another zone
+NOISE = 0.25            # random part of a cost, so that ingresses that know alike don't choose alike
+WAITING = 6             # requests that a server is let have waiting, by what is known here, before we refuse
+HEDGE = 3.0             # usual times of an answer after which a repeatable request is sent once more
+TAIL_STEP, TAIL = 0.05, 0.04    # how the time that all but the slowest TAIL of answers take is followed
+LEAST_LEFT = 0.02       # s that must be left for another try to be of use
+RETURN_LEAST = 0.05     # s, least told a client to come back after
+
+
+@dataclass(slots=True, eq=False)
+class Server:
+    """What this ingress knows of one server."""
+
+    id: str
+    svc: str
+    addr: str
+    az: str
+    slots: int
+    warm_at: float          # when it has warmed up, by its word
+    usable: bool = True
+    quiet: bool = False     # no sign of life has come to the registries
+    out: int = 0            # our requests there
+    told: float = 0.0       # requests it held by its own word, ours of the moment left out
+    told_at: float = -inf
+    slow: float = 1.0       # its time for a piece of work against the others'
+    fails: int = 0          # in a row
+    rest_until: float = 0.0
+    answered_at: float = -inf
+
+
+@dataclass(slots=True, eq=False)
+class Kind:
+    """What is known of the requests of one route at one service."""
+
+    work: float             # s, of an answer by a server that is not busy
+    tail: float             # s, all but the slowest answers
+
+
+@dataclass(slots=True, eq=False)
+class Try:
+    """A client's request that has no answer yet."""
+
+    id: int
+    route: Route
+    tenant: str
+    begun: float
+    ends: float
+    svc: str
+    out: dict[int, tuple[Server, float]] = field(default_factory=dict)  # attempts under way: server, sent at
+    tried: list[str] = field(default_factory=list)
+    attempts: int = 0
+    ran: bool = False       # an attempt may have run
+    offered: bool = False   # a server has had it
+    hedge_at: float = inf
+    answer: object = None   # the last failure that a server answered with, to be passed on
+
+
+# Actions
+
+
+@dataclass(slots=True)
+class Send:
+    """Send the request to a server; `number` names the attempt, of which the outcome is to be told."""
+
+    id: int
+    number: int
+    server: Server
+
+
+@dataclass(slots=True)
+class Give:
+    """Answer the client: with what the server answered in this attempt, or a status of our own."""
+
+    id: int
+    status: int
+    retry_after: float = 0.0
+    answer: object = None
+    reason: str = ""
+
+
+@dataclass(slots=True)
+class Wake:
+    """Call `late` for this request at this time."""
+
+    id: int
+    at: float
+
+
+class Clerk:
+    """The decisions of one desk; its owner carries out what the methods return."""
+
+    def __init__(self, az: str, admission: Admission, budget: RetryBudget, rng: Random) -> None:
+        self.az, self.admission, self.budget, self.rng = az, admission, budget, rng
+        self.servers: dict[str, Server] = {}
+        self.services: dict[str, list[Server]] = {}
+        self.kinds: dict[tuple[str, str], Kind] = {}
+        self.tries: dict[int, Try] = {}
+
+    # What the registries tell
+
+    def follow(self, records: list[Record], whole: bool, now: float) -> None:
+        """Take in servers, all there are or those changed."""
+        if whole:
+            named = {record.id for record in records}
+            for gone in [one for one in self.servers if one not in named]:
+                self.servers.pop(gone).usable = False
+        for record in records:
+            if record.phase == "gone":
+                if (server := self.servers.pop(record.id, None)) is not None:
+                    server.usable = False
+                continue
+            server = self.servers.get(record.id)
+            if server is None or server.addr != record.addr:
+                server = self.servers[record.id] = Server(
+                    record.id, record.svc, record.addr, record.az, max(1, record.slots),
+                    now + record.warm / 1000.0)
+            server.usable = record.usable
+            server.svc, server.az = record.svc, record.az
+        self.services = {}
+        for server in self.servers.values():
+            self.services.setdefault(server.svc, []).append(server)
+
+    def silent(self, ids: list[str]) -> None:
+        """The servers of which no sign of life has come for a while: all of them."""
+        named = set(ids)
+        for server in self.servers.values():
+            server.quiet = server.id in named
+
+    # Requests
+
+    def arrive(self, number: int, route: Route, tenant: str, left: float, now: float) -> list:
+        """A request has come whole."""
+        verdict = self.admission.admit(tenant, 1.0 / (1.0 + route.prio), now)
+        if not verdict.ok:
+            status = 429 if verdict.reason == "quota" else 503
+            return [Give(number, status, max(RETURN_LEAST, verdict.wait), reason=verdict.reason)]
+        svc = route.pick(self.rng.random())
+        t = self.tries[number] = Try(number, route, tenant, now, now + left, svc)
+        out = self._send(t, now)
+        if out is None:
+            self.admission.give_back(tenant, now)
+            return self._refuse(t, now, "no_room")
+        return out
+
+    def _send(self, t: Try, now: float) -> list | None:
+        """Send it to the best server, or say that there is none."""
+        server = self._choose(t, now)
+        if server is None:
+            return None
+        number, t.attempts = t.attempts, t.attempts + 1
+        kind = self.kind(t.svc, t.route)
+        t.out[number] = (server, now)
+        t.tried.append(server.id)
+        server.out += 1
+        self.admission.sent(t.tenant, kind.work, now, number == 0)
+        if number == 0:
+            self.budget.first(t.svc, now)
+        out: list = [Send(t.id, number, server)]
+        if t.route.safe and t.attempts < t.route.tries:
+            t.hedge_at = now + max(HEDGE * kind.work, 1.5 * kind.tail)
+            if t.hedge_at < t.ends - LEAST_LEFT:
+                out.append(Wake(t.id, t.hedge_at))
+        return out
+
+    def kind(self, svc: str, route: Route) -> Kind:
+        kind = self.kinds.get((svc, route.name))
+        if kind is None:
+            guess = FIRST_GUESS * route.target
+            kind = self.kinds[svc, route.name] = Kind(guess, 2.5 * guess)
+        return kind
+
+    def _choose(self, t: Try, now: float) -> Server | None:
+        """The server with the least expected wait that may take this request."""
+        able = [s for s in self.services.get(t.svc, ()) if s.usable and s.id not in t.tried]
+        if not able:
+            return None
+        well = [s for s in able if now >= s.rest_until and not s.quiet]
+        if not well:
+            # All rest or are silent: what may be repeated finds out whether one is back.
+            well = [s for s in able if not s.quiet] or able
+            if not t.route.safe:
+                well = [s for s in well if s.fails <= 1] or well
+        kind = self.kind(t.svc, t.route)
+        best, least = None, inf
+        for s in well:
+            held = self.held(s, now)
+            if held >= s.slots + WAITING and now - s.told_at < 1.0:
+                continue
+            cost = self._cost(s, held, kind.work, now)
+            if cost < least:
+                best, least = s, cost
+        return best
+
+    def held(self, s: Server, now: float) -> float:
+        """Requests that a server holds, as far as can be told: what it said, fading, and ours."""
+        return max(s.out, s.told * 0.5 ** ((now - s.told_at) / LOAD_HALF) + s.out)
+
+    def _cost(self, s: Server, held: float, work: float, now: float) -> float:
+        slow = s.slow * (COLD if now < s.warm_at else 1.0)
+        ahead = max(0.0, held + 1.0 - s.slots)
+        # A server that is nearly full is a risk even where a slot is free: others choose it as well.
+        wait = work * (ahead + 0.3 * held) / s.slots
+        cost = slow * (work + wait) + (FAR * work if s.az != self.az else 0.0)
+        return cost * (1.0 + NOISE * self.rng.random())
+
+    def outcome(self, number: int, attempt: int, status: Status, answer: object, now: float,
+                load: tuple[int, int, int] | None = None) -> list:
+        """An attempt has ended.
+
+        OK: the server's whole success. ERROR: another answer of the server, which ran it. FULL: it says that it
+        did not run it. CONNECT_FAILED, MOOT: it never had it whole. RESET, TIMEOUT: it may have run.
+        """
+        t = self.tries.get(number)
+        if t is None or attempt not in t.out:
+            return []
+        server, sent = t.out.pop(attempt)
+        server.out -= 1
+        self._learn(t, server, sent, status, load, now)
+        if status is Status.OK:
+            self.admission.answered(t.tenant, now - t.begun, t.route.target, now)
+            del self.tries[number]
+            return [Give(number, 0, answer=answer)]
+        if status not in (Status.CONNECT_FAILED, Status.MOOT):
+            t.offered = True
+        if status in (Status.ERROR, Status.RESET, Status.TIMEOUT):
+            t.ran = True
+            if status is Status.ERROR:
+                t.answer = answer
+        if t.out:
+            return []   # another attempt is under way
+        return self._again(t, status, now)
+
+    def _again(self, t: Try, status: Status, now: float) -> list:
+        may = t.attempts < t.route.tries and now + LEAST_LEFT < t.ends and (t.route.safe or not t.ran)
+        if may:
+            # What a server has had counts in the budget; what never came to one does not.
+            if not t.offered or self.budget.may_retry(t.svc, now):
+                out = self._send(t, now)
+                if out is not None:
+                    if t.offered:
+                        self.budget.spend(t.svc, now)
+                    return out
+        if not t.ran:
+            self.admission.give_back(t.tenant, now)
+            return self._refuse(t, now, status.value)
+        del self.tries[t.id]
+        self.admission.answered(t.tenant, max(now - t.begun, t.route.target * 1.5), t.route.target, now)
+        if t.answer is not None:
+            return [Give(t.id, 0, answer=t.answer)]
+        return [Give(t.id, 504 if now >= t.ends - LEAST_LEFT else 502, reason=status.value)]
+
+    def _refuse(self, t: Try, now: float, reason: str) -> list:
+        """It has not run and won't: told at once, with when to come back."""
+        self.tries.pop(t.id, None)
+        wait = max(RETURN_LEAST, 0.5 * self.kind(t.svc, t.route).work)
+        return [Give(t.id, 503, wait, reason=reason)]
+
+    def late(self, number: int, now: float) -> list:
+        """A repeatable request has waited long: it is sent to one more server, within the budget."""
+        t = self.tries.get(number)
+        if t is None or not t.out or now < t.hedge_at - 0.001 or t.attempts >= t.route.tries:
+            return []
+        if len(t.out) > 1 or now + LEAST_LEFT > t.ends or not self.budget.may_retry(t.svc, now):
+            return []
+        out = self._send(t, now)
+        if out is None:
+            return []
+        self.budget.spend(t.svc, now)
+        return out
+
+    def over(self, number: int, now: float) -> list:
+        """The client's time is up."""
+        t = self.tries.pop(number, None)
+        if t is None:
+            return []
+        self._leave(t, now)
+        self.admission.answered(t.tenant, now - t.begun, t.route.target, now)
+        return [Give(number, 504, reason="deadline")]
+
+    def gone(self, number: int, now: float) -> None:
+        """The client has left."""
+        if (t := self.tries.pop(number, None)) is not None:
+            self._leave(t, now)
+
+    def _leave(self, t: Try, now: float) -> None:
+        for server, sent in t.out.values():
+            server.out -= 1
+            # It has been silent so long: as little as is known, it is no better than that.
+            if now - sent > self.kind(t.svc, t.route).tail:
+                self._fail(server, now)
+
+    # What answers tell
+
+    def _learn(self, t: Try, s: Server, sent: float, status: Status, load: tuple[int, int, int] | None,
+               now: float) -> None:
+        if load is not None:
+            # The answer's own request is still among those it counts as running.
+            s.told, s.told_at, s.slots = max(0, load[0] + load[1] - 1 - s.out), now, max(1, load[2])
+        if status is Status.OK:
+            kind, latency = self.kind(t.svc, t.route), now - sent
+            s.fails, s.answered_at, s.quiet = 0, now, False
+            late = latency > kind.tail
+            kind.tail *= 1.0 + TAIL_STEP * (late - TAIL)
+            kind.tail = max(kind.tail, kind.work)
+            busy = load is not None and load[1] > 0
+            if now >= s.warm_at and not busy:
+                ratio = min(SLOW, max(FAST, latency / kind.work))
+                s.slow += LEARN_SLOW * (ratio - s.slow)
+                kind.work += LEARN * (min(latency / s.slow, 3.0 * kind.work) - kind.work)
+        elif status is Status.FULL:
+            s.rest_until = max(s.rest_until, now + FULL_REST)
+            s.told, s.told_at = max(s.told, float(s.slots + WAITING)), now
+        elif status in (Status.RESET, Status.TIMEOUT, Status.CONNECT_FAILED):
+            if sent >= s.rest_until - REST:     # what was sent before tells nothing new
+                self._fail(s, now)
+
+    def _fail(self, s: Server, now: float) -> None:
+        s.fails += 1
+        s.rest_until = now + min(REST_MOST, REST * 2.0 ** (s.fails - 1))
--- /dev/null
+++ b/folio/circulation/desk.py
@@ -0,0 +1,249 @@
+"""The owner of the clerk: sockets' events in, its decisions out; every request gets exactly one answer."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass, field
+from random import Random
+
+from fennelpoint.interface import BackendEntry, BackendState, Roster, RosterKind, Status
+from fennelpoint.net.backends import HOP_BY_HOP, Answer, Backends, Exchange, UpstreamConnection
+from fennelpoint.net.flow import Budget
+from folio import logs
+from folio.accession.register import Record
+from folio.boot import Boot, seconds
+from folio.catalogue.routing import Table
+from folio.circulation.clerk import Clerk, Give, Send, Wake
+from folio.circulation.dialect import ServerDialect, load_of
+from folio.circulation.reader import Asked
+from folio.lending.admission import Admission
+from folio.lending.budget import RetryBudget
+from folio.lending.slices import floor_rate
+
+CONNECT_TIMEOUT = 0.3   # s for a server to take a connection
+IDLE_MOST = 4.0         # s that a connection to a server is kept unused: the servers close theirs some time
+UNSAFE_IDLE = (0.03, 1.0)   # s that a connection for what may run once only has stood unused: young enough not
+                        # to have been forgotten, old enough for a second answer to have shown
+NOT_RUN = frozenset((429, 503, 408, 421))   # a promise: it has not run and never will
+REASON = b"x-refused-by"
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """A client's request until its answer is out and nothing of it is under way."""
+
+    id: int
+    asked: Asked
+    client: object | None
+    deadline: float
+    timer: asyncio.TimerHandle | None = None
+    out: dict[int, Exchange] = field(default_factory=dict)
+    passing: Passing | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Passing:
+    """Takes a large answer as it comes; from its first bytes on this attempt is the one that counts."""
+
+    desk: Desk
+    ticket: Ticket
+    number: int
+
+    def begin(self, answer: Answer, length: int | None, source: UpstreamConnection) -> None:
+        ticket = self.ticket
+        if ticket.client is None or ticket.passing is not None:
+            return      # another attempt was quicker; what comes is dropped
+        ticket.passing = self
+        if ticket.timer is not None:
+            ticket.timer.cancel()
+        ticket.client.begin(answer, length, source)
+
+    def piece(self, data: bytes) -> None:
+        if self.ticket.client is not None and self.ticket.passing is self:
+            self.ticket.client.piece(data)
+
+
+class Desk:
+    """What `fennelpoint.net.server` calls its host: takes requests, gives answers."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, boot: Boot, rng: Random, connections: int) -> None:
+        self.loop, self.boot, self.rng = loop, boot, rng
+        now = time.monotonic()
+        bounds = boot.bounds
+        self.admission = Admission(now, rng)
+        self.budget = RetryBudget(bounds.retry_ratio, seconds(bounds.retry_window, "retry_window"),
+                                  bounds.retry_slack, now, earlier=not boot.bootstrap)
+        self.clerk = Clerk(boot.az, self.admission, self.budget, rng)
+        self.backends = Backends(loop, connections, CONNECT_TIMEOUT, 2 * IDLE_MOST, 4.0,
+                                 Budget(boot.limits.mem_mb), ServerDialect())
+        self.table: Table | None = None
+        self.tickets: dict[int, Ticket] = {}
+        self.open_ids: set[bytes] = set()
+        self.last_id = 0
+        self.ready = False
+        self.members = 0
+        self.counts: dict[str, int] = {}
+        self.floors: dict[str, float] = {}
+
+    # What the registries tell
+
+    def follow(self, records: list[Record], whole: bool) -> None:
+        """Servers, all or those changed: the sockets keep to it from now on."""
+        self.clerk.follow(records, whole, time.monotonic())
+        entries, addresses = [], {}
+        for record in records:
+            state = (BackendState.GONE if record.phase == "gone" else
+                     BackendState.READY if record.usable else BackendState.DRAINING)
+            entries.append(BackendEntry(record.id, state))
+            host, _, port = record.addr.rpartition(":")
+            addresses[record.id] = (host, int(port or 0))
+        self.backends.follow(Roster(RosterKind.FULL if whole else RosterKind.CHANGES, 0, entries), addresses)
+
+    def configure(self, table: Table) -> None:
+        now = time.monotonic()
+        self.table = table
+        self.admission.configure(table.tenants, now)
+        self.slices(now, lambda tenant, at: None)
+
+    def slices(self, now: float, share) -> None:
+        """What each tenant's bucket here is filled by, from the leases."""
+        bounds, desks = self.boot.bounds, max(self.members, 1) if self.members else 96
+        self.budget.desks(desks, now)
+        window = seconds(bounds.quota_window, "quota_window")
+        self.admission.extra = 0.3 * bounds.quota_slack / desks
+        for name, tenant in self.table.tenants.items() if self.table else ():
+            if tenant.rate > 0.0:
+                floor = floor_rate(tenant.rate, tenant.burst, window, bounds.quota_excess, bounds.quota_slack,
+                                   desks) / window
+                self.admission.slice_of(name, share(name, now), now, floor)
+
+    def asks(self) -> dict[str, float]:
+        """Asks by tenant for the slices; tenants that ask nothing are named too."""
+        asked = self.admission.asks(time.monotonic())
+        tenants = self.table.tenants.items() if self.table else ()
+        return {name: round(asked.get(name, 0.0), 3) for name, tenant in tenants if tenant.rate > 0.0}
+
+    # What the server of clients calls
+
+    def admit(self, client: object, asked: Asked) -> int:
+        """Take a request; its id, for `gone`."""
+        self.last_id += 1
+        now = time.monotonic()
+        ticket = Ticket(self.last_id, asked, client, now + asked.time_left)
+        self.tickets[ticket.id] = ticket
+        self.open_ids.add(asked.txn)
+        if asked.tenant and asked.tenant not in self.admission.tenants:
+            # The configuration that knew the key is not the one in force any more.
+            self._finish(ticket, lambda c: c.answered(401, [], b"the key is not known\n"))
+            return ticket.id
+        ticket.timer = self.loop.call_later(asked.time_left, self._expire, ticket)
+        self._do(self.clerk.arrive(ticket.id, asked.route, asked.tenant, asked.time_left, now))
+        return ticket.id
+
+    def is_open(self, txn: bytes) -> bool:
+        return txn in self.open_ids
+
+    def doubled(self, asked: Asked) -> None:
+        logs.say("doubled", id=asked.txn.decode("latin-1"))
+
+    def gone(self, request: int) -> None:
+        """The client has closed its connection."""
+        ticket = self.tickets.get(request)
+        if ticket is None or ticket.client is None:
+            return
+        self.clerk.gone(request, time.monotonic())
+        self._finish(ticket, lambda client: None)
+        for exchange in list(ticket.out.values()):
+            exchange.give_up(Status.CANCELLED)
+
+    # Decisions
+
+    def _do(self, actions: list) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                self._send(action)
+            elif isinstance(action, Give):
+                self._give(action)
+            elif isinstance(action, Wake):
+                self.loop.call_at(self.loop.time() + action.at - time.monotonic(), self._wake, action.id)
+
+    def _wake(self, request: int) -> None:
+        if request in self.tickets:
+            self._do(self.clerk.late(request, time.monotonic()))
+
+    def _send(self, send: Send) -> None:
+        ticket = self.tickets[send.id]
+        asked, server, number = ticket.asked, send.server, send.number
+        if asked.upload is not None and asked.upload.held is None:
+            # A part of its body is gone with the attempt before.
+            return self._outcome(ticket, number, Status.MOOT, None)
+        passing = Passing(self, ticket, number)
+
+        def done(status: Status, answer: Answer | None) -> None:
+            ticket.out.pop(number, None)
+            self._outcome(ticket, number, status, answer, passing)
+
+        exchange = Exchange(lambda: asked.render(ticket.deadline - time.monotonic(), server.id), done,
+                            upload=asked.upload, receiver=passing, echo=asked.txn,
+                            idle=None if asked.route.safe else UNSAFE_IDLE)
+        ticket.out[number] = exchange
+        self.backends.begin(exchange, server.id)
+
+    def _outcome(self, ticket: Ticket, number: int, status: Status, answer: Answer | None,
+                 passing: Passing | None = None) -> None:
+        if ticket.client is not None and ticket.passing is not None and ticket.passing is passing:
+            self.clerk.gone(ticket.id, time.monotonic())
+            self._finish(ticket, (lambda c: c.finish()) if status is Status.OK else (lambda c: c.broken()))
+        elif ticket.client is not None and ticket.passing is None:
+            load = load_of(answer) if answer is not None else None
+            self._do(self.clerk.outcome(ticket.id, number, status, answer, time.monotonic(), load))
+        self._forget(ticket)
+
+    def _give(self, give: Give) -> None:
+        ticket = self.tickets[give.id]
+        answer = give.answer
+        if answer is not None:
+            fields = [each for each in answer.headers if each[0] not in HOP_BY_HOP]
+            return self._finish(ticket, lambda c: c.answered(answer.status, fields, answer.body))
+        self.counts[give.reason] = self.counts.get(give.reason, 0) + 1
+        logs.say("refused" if give.status in NOT_RUN else "failed", id=ticket.asked.txn.decode("latin-1"),
+                 status=give.status, reason=give.reason, route=ticket.asked.route.name)
+        fields = [(REASON, give.reason.encode())]
+        if give.retry_after > 0.0:
+            fields.append((b"retry-after", b"%.3f" % give.retry_after))
+        self._finish(ticket, lambda c: c.answered(give.status, fields, b"%b\n" % give.reason.encode()))
+
+    def _finish(self, ticket: Ticket, answer) -> None:
+        client, ticket.client = ticket.client, None
+        if client is None:
+            return
+        if ticket.timer is not None:
+            ticket.timer.cancel()
+        if ticket.asked.upload is not None:
+            ticket.asked.upload.drop()
+        self._forget(ticket)
+        answer(client)
+
+    def _forget(self, ticket: Ticket) -> None:
+        if ticket.client is None and not ticket.out and self.tickets.pop(ticket.id, None) is not None:
+            self.open_ids.discard(ticket.asked.txn)
+
+    def _expire(self, ticket: Ticket) -> None:
+        """The client's time is up."""
+        if ticket.client is None:
+            return
+        self._do(self.clerk.over(ticket.id, time.monotonic()))
+        if ticket.client is not None:
+            # Guards against a decision that has lost a request: its answer must not wait for it.
+            logs.say("lost_track", id=ticket.asked.txn.decode("latin-1"))
+            self._finish(ticket, lambda c: c.answered(504, [], b"out of time\n"))
+        for exchange in list(ticket.out.values()):
+            exchange.give_up(Status.TIMEOUT)
+
+    # Upkeep
+
+    @property
+    def under_way(self) -> int:
+        """Requests without an answer, and attempts that are still out."""
+        return len(self.tickets)
--- /dev/null
+++ b/folio/circulation/follower.py
@@ -0,0 +1,207 @@
+"""A desk's session with a registry: what it follows, what it reports, where it goes when that one fails."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from random import Random
+
+from folio import logs
+from folio.boot import Boot, BootError, address
+from folio.catalogue.routing import Table
+from folio.catalogue.structs import EMPTY, CatalogueError, Configuration
+from folio.lending.shards import KEYS, duty_of
+from folio.lending.slices import Holdings
+from folio.transport import messages as m
+from folio.transport.links import Link
+
+REPORT = 0.5        # s between reports
+SILENT = 1.1        # s without a pulse after which another registry is tried
+ALONE = 0.8         # s that a registry may say it has no majority before another one is tried
+CONNECT = 0.5       # s for a connection to come up
+
+
+class Follower:
+    """Keeps one session standing. `table` and the register never go back within one process."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, boot: Boot, rng: Random,
+                 on_table: Callable[[Table], None], on_servers: Callable[[list, bool], None],
+                 on_quiet: Callable[[list[str]], None], asks: Callable[[], dict[str, float]]) -> None:
+        self.loop, self.boot, self.rng = loop, boot, rng
+        self.on_table, self.on_servers, self.on_quiet, self.asks = on_table, on_servers, on_quiet, asks
+        self.life = time.time_ns() // 1000
+        self.hop = 0
+        self.config: Configuration = EMPTY
+        self.table: Table | None = None
+        self.slot = -1
+        self.register, self.place = "", 0
+        self.known: dict[str, float] = {}   # registries, by when they may be tried again
+        self.holdings: dict[str, Holdings] = {}
+        self.members = 0
+        self.link: Link | None = None
+        self.at = ""            # the registry that the session is with
+        self.heard_at = -1e9
+        self.alone_since: float | None = None
+        self.told_slot = -1
+        self.fresh = False      # configuration and servers are as new as a registry in touch has them
+        self.have_servers = False
+        self.stopping = False
+        self.dialling = False
+        self.learn(boot.seeds)
+
+    def learn(self, registries: list[str]) -> None:
+        for addr in registries:
+            try:
+                address(addr)
+            except BootError:
+                continue
+            self.known.setdefault(addr, 0.0)
+
+    def start(self) -> None:
+        self._tick()
+        self._report()
+
+    def _tick(self) -> None:
+        now = time.monotonic()
+        if self.link is not None:
+            if now - self.heard_at > SILENT:
+                self._leave("silent")
+            elif self.alone_since is not None and now - self.alone_since > ALONE and len(self.known) > 1:
+                self._leave("alone")
+        if self.link is None and not self.dialling and not self.stopping:
+            self.dialling = True
+            self.loop.create_task(self._dial(now))
+        self.loop.call_later(0.1, self._tick)
+
+    def _leave(self, why: str) -> None:
+        logs.say("session_left", registry=self.at, why=why)
+        self.known[self.at] = time.monotonic() + 1.0
+        link, self.link = self.link, None
+        link.close()
+
+    def _pick(self, now: float) -> str | None:
+        """A registry to try: of our zone first, as news and reports between zones cost."""
+        able = [addr for addr, at in self.known.items() if at <= now]
+        if not able:
+            return None
+        zone = self.boot.ip.rsplit(".", 2)[0]
+        near = [addr for addr in able if addr.startswith(zone + ".")]
+        return self.rng.choice(near or able)
+
+    async def _dial(self, now: float) -> None:
+        addr = self._pick(now)
+        try:
+            if addr is None:
+                return
+            self.known[addr] = now + self.rng.uniform(0.3, 0.6)
+            host, _ = address(addr)
+            link = Link(self._heard, self._ended)
+            link.peer = addr
+            async with asyncio.timeout(CONNECT):
+                await self.loop.create_connection(lambda: link, host, self.boot.port_range[0])
+            self.link, self.at, self.alone_since = link, addr, None
+            self.heard_at = time.monotonic()
+            self.hop += 1
+            self.told_slot = -1
+            link.send(m.Open(self.boot.hostname, self.life, self.hop, self.boot.az, self.slot, self.register,
+                             self.place))
+        except (OSError, TimeoutError):
+            self.known[addr] = time.monotonic() + 0.4
+        finally:
+            self.dialling = False
+
+    def _ended(self, link: Link) -> None:
+        if self.link is link:
+            self.link = None
+            self.known[self.at] = time.monotonic() + 0.3
+            if not self.stopping:
+                logs.say("session_lost", registry=self.at)
+
+    def _heard(self, link: Link, message: m.Message) -> None:
+        if link is not self.link:
+            return
+        now = time.monotonic()
+        self.heard_at = now
+        kind = type(message)
+        if kind is m.Pulse:
+            self.members, self.told_slot = message.members, message.slot
+            if message.in_touch:
+                self.alone_since = None
+                self.fresh = self.fresh or (self.slot >= message.slot and self.have_servers)
+            elif self.alone_since is None:
+                self.alone_since = now
+        elif kind is m.Servers:
+            self.register, self.place = message.register, message.place
+            self.have_servers = True
+            self.on_servers(message.records, message.whole)
+        elif kind is m.Quiet:
+            self.on_quiet(message.ids)
+        elif kind is m.State:
+            self._state(message)
+        elif kind is m.Step:
+            self._step(message)
+        elif kind is m.Slice:
+            holdings = self._holdings(message.key)
+            if holdings.take(message.lease, now):
+                self._send_report(now)
+        elif kind is m.Welcome:
+            self.learn(message.registries)
+
+    def _state(self, message: m.State) -> None:
+        if message.slot <= self.slot:
+            return      # guards against going back: that registry is behind
+        try:
+            config = Configuration.from_put(m.unpack(message.body))
+        except (CatalogueError, ValueError) as error:
+            if message.slot:    # before the first configuration there is none to read
+                logs.say("state_unread", error=error)
+            config = EMPTY
+        self._take(message.slot, config)
+
+    def _step(self, message: m.Step) -> None:
+        if message.slot <= self.slot:
+            return      # said twice
+        if message.slot != self.slot + 1:
+            logs.say("step_missing", have=self.slot, got=message.slot)
+            return self._leave("gap")   # the next session starts from our place
+        config = self.config
+        if message.body:
+            try:
+                config = Configuration.from_change(config, message.whole, m.unpack(message.body))
+            except (CatalogueError, ValueError) as error:
+                logs.say("step_unread", error=error)
+        self._take(message.slot, config)
+
+    def _take(self, slot: int, config: Configuration) -> None:
+        self.slot = slot
+        if config is not self.config and config.ver:
+            self.config = config
+            self.table = Table(config, self.table)
+            logs.say("config", slot=slot, ver=f"{config.ver:08x}")
+            self.on_table(self.table)
+
+    def _holdings(self, key: str) -> Holdings:
+        return self.holdings.setdefault(key, Holdings(self.life))
+
+    def share(self, tenant: str, now: float) -> float | None:
+        """The part of the tenant's quota that is lent to us."""
+        holdings = self.holdings.get(duty_of(tenant))
+        return None if holdings is None else holdings.share(tenant, now)
+
+    def _report(self) -> None:
+        self._send_report(time.monotonic())
+        self.loop.call_later(REPORT * self.rng.uniform(0.9, 1.1), self._report)
+
+    def _send_report(self, now: float) -> None:
+        if self.link is None or self.table is None:
+            return
+        held = {key: self._holdings(key).to_report(now) for key in KEYS}
+        self.link.send(m.Report(self.asks(), held))
+
+    def stop(self) -> None:
+        """The process is about to end."""
+        self.stopping = True
+        if self.link is not None:
+            self.link.send(m.Bye())
+
--- /dev/null
+++ b/folio/lending/shards.py
@@ -0,0 +1,10 @@
+"""How tenants are cut into the duties of lending: each tenant belongs to one, by its name."""
+
+import zlib
+
+KEYS = tuple(f"quota/{number}" for number in range(4))
+
+
+def duty_of(tenant: str) -> str:
+    """The duty that a tenant's quota belongs to."""
+    return KEYS[zlib.crc32(tenant.encode()) % len(KEYS)]
--- /dev/null
+++ b/folio/lending/slices.py
@@ -0,0 +1,321 @@
+"""Slices of the tenants' quotas, lent by one giver to every desk.
+
+A slice is a share of a tenant's rate and burst. Shares are whole numbers of PARTS, so that sums are exact.
+The giver (Lender) sits where the duty for the shard is; a desk keeps what it was lent in Holdings.
+
+At any moment the shares that desks may still be using, those cut off included, sum to at most 1:
+
+- A lease ends by the desk's own steady clock, counted from when the desk SENT the report that was answered;
+  the giver counts from when it answered, and adds a margin for clocks that run unevenly.
+- A raise is given only from what is free. After a lowering the old share counts as in use until the desk names
+  the new lease in a report, or until the old lease has ended.
+- A new giver knows nothing. First it asks each desk to refuse the giver before it (the lease it answers with
+  repeats what the desk holds and ends when that would have ended). What a desk still holds under the new fence
+  is taken over as it is. What nobody has named may still be in use; it is free once all known desks have been
+  taken over, or when the longest lease of the giver before must have ended.
+
+All times are seconds of a steady clock.
+"""
+
+import msgspec
+
+PARTS = 1_000_000
+
+
+class Held(msgspec.Struct, array_like=True, tag="lending.held"):
+    """What a desk tells the giver that it holds. Shares are in PARTS; `left` and `sent` in seconds."""
+
+    life: int  # grows with each start of the desk's process
+    sent: float  # the desk's clock as it sent this
+    fence: int  # 0 = has never held a lease
+    epoch: int
+    left: float
+    shares: dict[str, int]
+
+
+class Lease(msgspec.Struct, array_like=True, tag="lending.lease"):
+    """The giver's answer. It holds `term` seconds from `sent`, a time the desk had put into its report.
+
+    Epoch 0 is a new giver's first word: the desk keeps what it holds, and obeys no lower fence any more.
+    """
+
+    life: int
+    sent: float
+    fence: int
+    epoch: int
+    term: float
+    shares: dict[str, int]
+
+
+class LendingTerms(msgspec.Struct, frozen=True):
+    """Figures of lending; every giver of a day must use the same `term` and `margin`."""
+
+    term: float = 8.0  # seconds a lease holds
+    margin: float = 0.4  # seconds the giver waits on top, for clocks that differ in speed by up to 2%
+    even: float = 0.2  # the fraction of a quota that is dealt out evenly, whatever is asked
+    keep: float = 1.5  # seconds after a take-over in which no share is lowered, as not all asks are known yet
+
+
+class Lent(msgspec.Struct):
+    """A lease given out that may be in use until `until` by the giver's clock."""
+
+    epoch: int
+    until: float
+    shares: dict[str, int]
+
+
+class Borrower:
+    """What the giver knows of one desk."""
+
+    __slots__ = ("asks", "bound", "heard", "lent", "life", "sent", "settled")
+
+    def __init__(self, life: int, settled: bool) -> None:
+        self.life = life
+        self.sent = float("-inf")
+        self.heard = 0.0
+        self.settled = settled
+        self.asks: dict[str, float] = {}
+        self.lent: list[Lent] = []
+        self.bound: dict[str, int] = {}  # the most the desk may be using now
+
+
+class Lender:
+    """Gives the slices of one shard of tenants, as long as the duty holds under `fence`.
+
+    `known` names the desks that may hold leases of an earlier giver (empty: none was ever given; None: not known,
+    so that the time alone counts). `expect` is the number of desks there are as far as sessions tell. A Lender is
+    made anew for each fence, and must not be asked once the duty is lost.
+    """
+
+    def __init__(
+        self, fence: int, known: set[str] | None, expect: int, now: float, terms: LendingTerms | None = None
+    ) -> None:
+        self.fence = fence
+        self.terms = terms or LendingTerms()
+        self.expect = expect
+        self._awaited = None if known is None else set(known)
+        self._sealed = known is None or bool(known)
+        self._sealed_until = now + self.terms.term + self.terms.margin
+        self._keep_until = now + self.terms.keep if self._sealed else now
+        self._desks: dict[str, Borrower] = {}
+        self._ended: dict[str, tuple[int, float]] = {}  # the life that left, and when that may be forgotten
+        self._used: dict[str, int] = {}  # sum of the bounds by tenant
+        self._claimed: dict[str, int] = {}  # sum of what was taken over by tenant, while sealed
+        self._asked: dict[str, float] = {}
+        self._next_sweep = now
+        self._epoch = 0  # one count for all desks, so that one that was forgotten and returns is not given old ones
+
+    def report(self, desk: str, asks: dict[str, float], held: Held, now: float) -> Lease | None:
+        """Takes a desk's report (`asks`: requests a second by tenant, refused ones included, 0 for the silent).
+
+        Only tenants that some desk lists are lent, so a desk lists all tenants its configuration limits.
+        Returns the lease to answer with, or None if the report is late, of an ended process, or if the desk has
+        obeyed a higher fence: this giver's time is over then.
+        """
+        if held.fence > self.fence:
+            return None
+        self._sweep(now)
+        ended = self._ended.get(desk)
+        if ended is not None and held.life <= ended[0] and now < ended[1]:
+            return None
+        known = self._desks.get(desk)
+        if known is not None and held.life < known.life:
+            return None
+        if known is None or held.life > known.life:
+            if known is not None:
+                self._drop(desk)  # the earlier process is dead, and its shares with it
+            known = self._desks[desk] = Borrower(held.life, not self._sealed)
+        elif held.sent <= known.sent:
+            return None
+        known.sent, known.heard = held.sent, now
+        self._hear(known, asks)
+        if not known.settled:
+            if held.fence != self.fence:
+                # Only the fence changes hands: what is named here may have run out or gone down under way.
+                if held.shares and self._awaited is not None:
+                    self._awaited.add(desk)
+                return Lease(held.life, held.sent, self.fence, 0, 0.0, {})
+            self._settle(desk, known, held, now)
+        elif held.fence == self.fence:
+            known.lent = [lent for lent in known.lent if lent.epoch >= held.epoch]
+        self._rebound(known, now)
+        return self._give(known, now)
+
+    def leave(self, desk: str, life: int, now: float) -> None:
+        """The desk's process has said that it uses nothing any more."""
+        known = self._desks.get(desk)
+        if known is not None and known.life == life:
+            self._drop(desk)
+        self._ended[desk] = (life, now + self.terms.term + self.terms.margin)
+        self._came(desk)
+
+    def sealed(self, now: float) -> bool:
+        """Whether shares that nobody has named may still be in use."""
+        if self._sealed and (now >= self._sealed_until or self._awaited is not None and not self._awaited):
+            self._sealed = False
+            for known in self._desks.values():
+                known.settled = True
+        return self._sealed
+
+    def borrowers(self) -> set[str]:
+        """The desks that may hold a lease; the next giver is to know them."""
+        return set(self._desks) | (self._awaited or set() if self._sealed else set())
+
+    def used(self, tenant: str) -> float:
+        """The share of a tenant's quota that may be in use, as far as desks are known."""
+        return self._used.get(tenant, 0) / PARTS
+
+    def _came(self, desk: str) -> None:
+        if self._awaited is not None:
+            self._awaited.discard(desk)
+
+    def _settle(self, desk: str, known: Borrower, held: Held, now: float) -> None:
+        """Takes over what a desk still held after it had begun to refuse the giver before."""
+        known.settled = True
+        claim = {tenant: share for tenant, share in held.shares.items() if share > 0}
+        for tenant, share in claim.items():
+            self._claimed[tenant] = self._claimed.get(tenant, 0) + share
+        if claim:
+            until = now + self.terms.term + self.terms.margin
+            known.lent.append(Lent(0, until, claim))
+        self._rebound(known, now)
+        self._came(desk)
+
+    def _hear(self, known: Borrower, asks: dict[str, float]) -> None:
+        asked = self._asked
+        for tenant, rate in known.asks.items():
+            asked[tenant] -= rate
+        for tenant, rate in asks.items():
+            asked[tenant] = asked.get(tenant, 0.0) + rate
+        known.asks = dict(asks)
+
+    def _rebound(self, known: Borrower, now: float) -> None:
+        known.lent = [lent for lent in known.lent if lent.until > now]
+        bound: dict[str, int] = {}
+        for lent in known.lent:
+            for tenant, share in lent.shares.items():
+                if share > bound.get(tenant, 0):
+                    bound[tenant] = share
+        used = self._used
+        for tenant, share in known.bound.items():
+            used[tenant] -= share
+        for tenant, share in bound.items():
+            used[tenant] = used.get(tenant, 0) + share
+        known.bound = bound
+
+    def _drop(self, desk: str) -> None:
+        known = self._desks.pop(desk)
+        self._hear(known, {})
+        known.lent = []
+        self._rebound(known, known.heard)
+
+    def _sweep(self, now: float) -> None:
+        """Takes back what has ended, and settles the sums; every quarter of a second is soon enough."""
+        self.sealed(now)
+        if now < self._next_sweep:
+            return
+        self._next_sweep = now + 0.25
+        silence = self.terms.term + self.terms.margin
+        for desk, known in list(self._desks.items()):
+            if now - known.heard > silence:
+                self._drop(desk)
+            elif known.lent and known.lent[0].until <= now:
+                self._rebound(known, now)
+        # Rates are fractions: summed afresh, what was added and taken away leaves nothing behind.
+        asked: dict[str, float] = {}
+        for known in self._desks.values():
+            for tenant, rate in known.asks.items():
+                asked[tenant] = asked.get(tenant, 0.0) + rate
+        self._asked = asked
+        self._used = {tenant: used for tenant, used in self._used.items() if used or tenant in asked}
+
+    def _give(self, known: Borrower, now: float) -> Lease:
+        terms, used, asked = self.terms, self._used, self._asked
+        heard = len(self._desks)
+        desks = max(self.expect, heard)
+        even = 1.0 / desks
+        # Desks not heard yet are taken to ask like the others, or the first one would be given everything.
+        scale = (1.0 - terms.even) * heard / desks
+        keep = now < self._keep_until
+        current = known.lent[-1].shares if known.lent else {}
+        shares: dict[str, int] = {}
+        for tenant in asked.keys() | current.keys() if keep else asked:
+            total = asked.get(tenant, 0.0)
+            want = even
+            if total > 1e-6:
+                want = scale * known.asks.get(tenant, 0.0) / total + terms.even * even
+            share = int(want * PARTS)
+            if keep:
+                share = max(share, current.get(tenant, 0))
+            bound = known.bound.get(tenant, 0)
+            free = PARTS - used.get(tenant, 0) + bound
+            if self._sealed:
+                free -= max(0, PARTS - self._claimed.get(tenant, 0))
+            share = max(0, min(share, free))
+            if share:
+                shares[tenant] = share
+            if share > bound:
+                known.bound[tenant] = share
+                used[tenant] = used.get(tenant, 0) + share - bound
+        self._epoch += 1
+        known.lent.append(Lent(self._epoch, now + terms.term + terms.margin, shares))
+        return Lease(known.life, known.sent, self.fence, self._epoch, terms.term, shares)
+
+
+class Holdings:
+    """What one desk holds of one shard. `life` must grow with each start of the process."""
+
+    def __init__(self, life: int) -> None:
+        self.life = life
+        self.fence = 0
+        self._epoch = 0
+        self._until = float("-inf")
+        self._shares: dict[str, int] = {}
+
+    def take(self, lease: Lease, now: float) -> bool:
+        """Takes a lease unless it is late or of an earlier giver.
+
+        Returns True if a share went down by a fiftieth of the quota or more, or the giver is new: others wait for
+        that to be confirmed, so the next report is best sent at once.
+        """
+        if lease.life != self.life or lease.fence < self.fence:
+            return False
+        if lease.fence == self.fence and lease.epoch <= self._epoch:
+            return False
+        news = lease.fence > self.fence
+        lowered = bool(lease.epoch) and any(
+            share - lease.shares.get(tenant, 0) >= PARTS // 50 for tenant, share in self._shares.items()
+        )
+        self.fence, self._epoch = lease.fence, lease.epoch
+        if lease.epoch:
+            self._until = lease.sent + lease.term
+            self._shares = lease.shares
+        return news or lowered
+
+    def share(self, tenant: str, now: float) -> float | None:
+        """The share of the tenant's quota this desk may use (0 to 1), or None without a lease."""
+        if now >= self._until:
+            return None
+        share = self._shares.get(tenant)
+        return None if share is None else share / PARTS
+
+    def left(self, now: float) -> float:
+        """Seconds until the lease ends."""
+        return max(0.0, self._until - now)
+
+    def to_report(self, now: float) -> Held:
+        """What to tell the giver; to be sent at once, and each report later than the one before."""
+        left = self.left(now)
+        return Held(self.life, now, self.fence, self._epoch, left, self._shares if left else {})
+
+
+def floor_rate(rate: float, burst: float, window: float, excess: float, slack: float, desks: int) -> float:
+    """Requests in any span of `window` seconds that a desk without a lease may pass for a tenant.
+
+    Half of what the rule allows above the quota, cut evenly over `desks`, so that all of them on the floor together
+    leave the rest of it to uneven buckets. `rate` is in requests a second; 0 means no limit (infinity is returned).
+    A token bucket that keeps to it holds at most half of this and is filled with the other half in one window.
+    """
+    if rate <= 0:
+        return float("inf")
+    return 0.5 * (slack + excess * (rate * window + burst)) / max(1, desks)
--- /dev/null
+++ b/folio/logs.py
@@ -0,0 +1,43 @@
+"""One line of key=value pairs for each event, to standard error; a flood of one event is sampled."""
+
+from __future__ import annotations
+
+import time
+
+import picologging
+
+_log = picologging.getLogger("folio")
+_SAMPLE, _SPAN = 5, 1.0     # lines of one event within so many seconds; the rest is counted
+_seen: dict[str, list] = {}
+
+
+def begin(role: str, host: str) -> None:
+    """Write from now on, each line with the role and the machine."""
+    handler = picologging.StreamHandler()
+    handler.setFormatter(picologging.Formatter(f"t=%(created).3f level=%(levelname)s role={role} host={host} %(message)s"))
+    _log.addHandler(handler)
+    _log.setLevel(picologging.INFO)
+
+
+def _text(value: object) -> str:
+    text = f"{value:.4g}" if isinstance(value, float) else str(value)
+    return f'"{text}"' if " " in text or "=" in text else text
+
+
+def say(event: str, **fields: object) -> None:
+    """Log an event. Within a second only the first few lines of one event are written."""
+    now = time.monotonic()
+    seen = _seen.get(event)
+    if seen is None or now - seen[0] > _SPAN:
+        if seen is not None and seen[1] > _SAMPLE:
+            fields["left_out"] = seen[1] - _SAMPLE
+        seen = _seen[event] = [now, 0]
+    seen[1] += 1
+    if seen[1] <= _SAMPLE:
+        _log.info(" ".join([f"event={event}", *(f"{k}={_text(v)}" for k, v in fields.items())]))
+
+
+def failure(event: str) -> None:
+    """Log the exception at hand, with its trace in one line."""
+    import traceback
+    say(event, trace=traceback.format_exc().replace("\n", " | ").replace('"', "'"))
--- /dev/null
+++ b/folio/reference/commands.py
@@ -0,0 +1,310 @@
+"""The commands of the toolbox: each takes the parsed arguments and returns an exit code."""
+
+import os
+import random
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from folio.catalogue.structs import CatalogueError, Configuration, version
+from folio.reference import checks, difference, wire
+from folio.reference.errors import BAD_INPUT, DONE, FAILED, BadInputError, ToolboxError, UnclearError
+from folio.reference.tables import cell, rows, table
+
+Args = dict[str, Any]
+
+
+def _out(text: str) -> None:
+    sys.stdout.write(text)
+
+
+def _json(data: Any) -> None:
+    _out(msgspec.json.format(msgspec.json.encode(data), indent=2).decode() + "\n")
+
+
+def _read(path: str, field: str) -> bytes:
+    try:
+        return sys.stdin.buffer.read() if path == "-" else Path(path).read_bytes()
+    except OSError as error:
+        raise BadInputError(field, f"{path}: {error.strerror or error}") from None
+
+
+def _write(path: str, body: bytes, field: str) -> None:
+    try:
+        Path(path).write_bytes(body)
+    except OSError as error:
+        raise BadInputError(field, f"{path}: {error.strerror or error}") from None
+
+
+def number(args: Args, name: str, kind: type) -> Any:
+    """Return an option as a number above 0. Raises BadInputError."""
+    try:
+        value = kind(args[name])
+    except ValueError:
+        raise BadInputError(name, f"{args[name]!r} is not a number") from None
+    if not 0 < value < 1e9:
+        raise BadInputError(name, f"{args[name]} is not above 0")
+    return value
+
+
+def _addresses(args: Args) -> list[str]:
+    listed, field = args["--at"], "--at"
+    if listed is not None:
+        addresses = [each.strip() for each in listed.split(",") if each.strip()]
+    else:
+        path = os.environ.get("CROWSEAM_BOOT")
+        if not path:
+            raise BadInputError("--at", "is missing, and CROWSEAM_BOOT names no settings file")
+        field = "seeds"
+        try:
+            addresses = msgspec.json.decode(_read(path, "CROWSEAM_BOOT"))["seeds"]
+        except (msgspec.DecodeError, KeyError, TypeError):
+            raise BadInputError("seeds", f"cannot be read from {path}") from None
+    for address in addresses:
+        host, colon, port = str(address).rpartition(":")
+        if not (colon and host and port.isdigit() and 0 < int(port) < 65536):
+            raise BadInputError(field, f"{address!r} is not an address such as 10.1.0.5:8407")
+    if not addresses:
+        raise BadInputError(field, "names no address")
+    return addresses
+
+
+def caller(args: Args) -> wire.Caller:
+    """Return what makes the calls of one command. Raises BadInputError."""
+    rng = random.Random()
+    addresses = _addresses(args)
+    rng.shuffle(addresses)
+    return wire.Caller(addresses, number(args, "--within", float), wire.send, time.monotonic, time.sleep, rng)
+
+
+def _call(args: Args, name: str, body: bytes = b"") -> wire.Answer:
+    result = caller(args).call(name, body)
+    if result.is_error():
+        raise result.error
+    return result.ok
+
+
+def _data(answer: wire.Answer) -> Any:
+    try:
+        return msgspec.json.decode(answer.body)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        raise UnclearError("the answer is not JSON") from None
+
+
+def check(args: Args) -> int:
+    """Check a file and print every fault."""
+    kind = next(name for name in ("settings", "deploy", "config") if args[name])
+    body = _read(args["FILE"][0], "FILE")
+    found = {"settings": checks.check_settings, "deploy": checks.check_deploy,
+             "config": checks.check_config}[kind](body)
+    if args["--json"]:
+        _json([{"field": field, "text": text} for field, text in found])
+    elif not found:
+        _out("ok\n")
+    else:
+        for field, text in found:
+            sys.stderr.write(f"{field or kind}: {text}\n")
+    return BAD_INPUT if found else DONE
+
+
+def config_get(args: Args) -> int:
+    """Print the newest configuration, whole."""
+    body = _call(args, "config").body
+    if args["--out"]:
+        _write(args["--out"], body, "--out")
+    else:
+        _out(body.decode("utf-8", "replace") + "\n")
+    return DONE
+
+
+def config_put(args: Args) -> int:
+    """Send a whole configuration, or a PATCH where the file holds one, until a clear answer comes."""
+    body = _read(args["FILE"][0], "FILE")
+    patch = checks.is_patch(body)
+    if not args["--no-check"]:
+        found = checks.check_config(body)
+        if found:
+            raise BadInputError(*found[0])
+    _call(args, "patch" if patch else "put", body)
+    try:
+        ver = msgspec.json.decode(body)["ver"]
+    except (msgspec.DecodeError, KeyError, TypeError):
+        ver = None
+    if args["--json"]:
+        _json({"taken": True, "ver": ver})
+    else:
+        _out(f"taken: version {cell(ver)}\n")
+    return DONE
+
+
+def _configuration(body: bytes, field: str) -> Configuration:
+    try:
+        return Configuration.from_put(body)
+    except CatalogueError as error:
+        raise BadInputError(f"{field}: {error.field}" if error.field else field, error.text) from None
+
+
+def config_diff(args: Args) -> int:
+    """Print what differs between two files, or between the configuration in force and a file."""
+    new = _configuration(_read(args["NEW"], "NEW"), "NEW")
+    if args["OLD"] is None:
+        old = _configuration(_call(args, "config").body, "the configuration in force")
+    else:
+        old = _configuration(_read(args["OLD"], "OLD"), "OLD")
+    if args["--as-patch"] is not None:
+        try:
+            ver = version(args["--as-patch"], "--as-patch")
+        except CatalogueError as error:
+            raise BadInputError(error.field, error.text) from None
+        if ver <= old.ver:
+            raise BadInputError("--as-patch", f"{args['--as-patch']} is not above {old.ver:08x}")
+        _out(difference.as_patch(old, new, args["--as-patch"]).decode() + "\n")
+        return DONE
+    found = difference.differences(old, new)
+    if args["--json"]:
+        _json({"from": f"{old.ver:08x}", "to": f"{new.ver:08x}", "items": found})
+    else:
+        _out("".join(f"{line}\n" for line in [f"{old.ver:08x} -> {new.ver:08x}", *difference.lines(found)]))
+    return DONE
+
+
+def _listing(args: Args, name: str) -> int:
+    data = _data(_call(args, name))
+    if args["--json"]:
+        _json(data)
+    else:
+        _out(table(rows(data, name)))
+    return DONE
+
+
+def config_history(args: Args) -> int:
+    """Print the versions the system remembers."""
+    return _listing(args, "history")
+
+
+def servers(args: Args) -> int:
+    """Print the servers that are known."""
+    return _listing(args, "servers")
+
+
+def members(args: Args) -> int:
+    """Print the machines that are known."""
+    return _listing(args, "members")
+
+
+def duties(args: Args) -> int:
+    """Print which machine does which duty, and under which fence."""
+    return _listing(args, "duties")
+
+
+def summed(heard: list[tuple[str, Any]]) -> dict[str, Any]:
+    """Return one view out of the status of several addresses: `wrong` (lines) and `at` (by address).
+
+    heard: (address, Result of an Answer). What each address calls wrong is listed once, and so are addresses
+    that do not answer and versions of the configuration that differ.
+    """
+    wrong: dict[str, None] = {}
+    at: dict[str, Any] = {}
+    versions: dict[str, list[str]] = {}
+    for address, result in heard:
+        if result.is_error():
+            wrong[f"{address} does not answer: {result.error}"] = None
+            continue
+        try:
+            told = _data(result.ok)
+        except ToolboxError as error:
+            wrong[f"{address}: {error}"] = None
+            continue
+        if not isinstance(told, dict):
+            wrong[f"{address}: the answer is no object"] = None
+            continue
+        at[address] = told
+        named = told.get("wrong")
+        for line in named if isinstance(named, list) else []:
+            wrong[cell(line)] = None
+        if "ver" in told:
+            versions.setdefault(cell(told["ver"]), []).append(address)
+    if len(versions) > 1:
+        wrong["versions differ: " + "; ".join(f"{ver} at {', '.join(where)}"
+                                              for ver, where in sorted(versions.items()))] = None
+    return {"wrong": list(wrong), "at": at}
+
+
+def status(args: Args) -> int:
+    """Print, on one screen, what is wrong now. FAILED when anything is."""
+    view = summed(sorted(caller(args).each("status"), key=lambda each: each[0]))
+    if args["--json"]:
+        _json(view)
+    else:
+        _out("".join(f"WRONG {line}\n" for line in view["wrong"][:20]) or "nothing is wrong\n")
+        if len(view["wrong"]) > 20:
+            _out(f"and {len(view['wrong']) - 20} more\n")
+        told = [{"addr": address} | {name: value for name, value in each.items() if name != "wrong"}
+                for address, each in view["at"].items()]
+        if told:
+            _out("\n" + table(told))
+    return FAILED if view["wrong"] else DONE
+
+
+def retire(args: Args) -> int:
+    """Take servers out of use, or put them back."""
+    body: dict[str, Any] = {"undo": bool(args["--undo"])}
+    for option, field in (("--server", "id"), ("--version", "ver"), ("--zone", "az"), ("--svc", "svc")):
+        if args[option] is not None:
+            if not args[option]:
+                raise BadInputError(option, "is empty")
+            body[field] = args[option]
+    if "id" in body and "svc" in body:
+        raise BadInputError("--svc", "does not go with --server, whose id says it all")
+    answer = _call(args, "retire", msgspec.json.encode(body))
+    data = _data(answer) if answer.body.strip() else {}
+    if args["--json"]:
+        _json(data)
+    else:
+        _out(("back in use" if body["undo"] else "retired") + f": {cell(data)}\n")
+    return DONE
+
+
+def trace(args: Args) -> int:
+    """Print the events of one request out of several logs."""
+    from folio.reference.trace import follow
+    logs = [(path, _read(path, "FILE").decode("utf-8", "replace").splitlines()) for path in args["FILE"]]
+    found = follow(args["ID"], logs)
+    if args["--json"]:
+        _json(found)
+    else:
+        for event in found:
+            told = " ".join(f"{name}={cell(value)}" for name, value in event.items()
+                            if name not in ("log", "line"))
+            _out(f"{event['log']}:{event['line']} {told}\n")
+    if not found:
+        sys.stderr.write(f"ID: no event holds {args['ID']!r}\n")
+        return FAILED
+    return DONE
+
+
+def schema(args: Args) -> int:
+    """Print the JSON Schema of one kind of file, of configurations if none is named."""
+    from folio.reference.schema import SCHEMAS
+    from folio.reference.schema import schema as written
+    _json(written(next((name for name in SCHEMAS if args[name]), "config")))
+    return DONE
+
+
+def demo(args: Args) -> int:
+    """Write the files of a small cell on this computer, and start it if asked to."""
+    from folio.reference import demo as cell_of_three
+    folder = Path(args["DIR"]).absolute()
+    processes = cell_of_three.write(folder)
+    for role, file in processes:
+        _out(f"CROWSEAM_BOOT={file} python3 -m folio {role}\n")
+    at = f"{cell_of_three.MACHINES[0]}:{cell_of_three.PORTS['ctl']}"
+    _out(f"python3 -m folio config put {folder / 'configuration.json'} --at {at}\n")
+    _out(f"curl -H 'Host: {cell_of_three.HOST}' -H 'Authorization: Bearer {cell_of_three.KEY}' "
+         f"-H 'X-Attempt-Id: 1' -H 'X-Time-Left: 2000' "
+         f"http://{cell_of_three.MACHINES[0]}:{cell_of_three.PORTS['http']}/menu/today\n")
+    sys.stdout.flush()
+    return cell_of_three.run(folder, processes) if args["--run"] else DONE
--- /dev/null
+++ b/folio/reference/dispatch.py
@@ -0,0 +1,65 @@
+"""From the words of the command line to the command."""
+
+import sys
+
+from docopt import DocoptExit, docopt
+
+from folio.reference import commands
+from folio.reference.errors import BAD_INPUT, FAILED, ToolboxError
+from folio.reference.usage import USAGE
+
+
+def _custody():
+    # The store and the agreement are loaded only for the commands that work on them.
+    from folio.reference import custody
+    return custody
+
+
+COMMANDS = {
+    "check": commands.check,
+    "servers": commands.servers,
+    "members": commands.members,
+    "duties": commands.duties,
+    "status": commands.status,
+    "retire": commands.retire,
+    "trace": commands.trace,
+    "schema": commands.schema,
+    "demo": commands.demo,
+    "snapshot": lambda args: _custody().snapshot(args),
+    "restore": lambda args: _custody().restore(args),
+    "model-check": lambda args: _custody().model_check(args),
+}
+CONFIG_COMMANDS = {
+    "get": commands.config_get,
+    "put": commands.config_put,
+    "diff": commands.config_diff,
+    "history": commands.config_history,
+}
+
+
+def run(argv: list[str]) -> int:
+    """Run one command of the toolbox, given the words after the program's name; return its exit code.
+
+    Bad input and failures are told in one line on standard error.
+    """
+    try:
+        args = docopt(USAGE, argv)
+    except DocoptExit:
+        told = " ".join(argv) or "no command"
+        sys.stderr.write(f"arguments: {told!r} is not understood; `folio --help` shows what is\n")
+        return BAD_INPUT
+    # `check config` holds a word that begins other commands, so those come last.
+    command = next((COMMANDS[name] for name in COMMANDS if args[name]), None)
+    if command is None:
+        command = next(CONFIG_COMMANDS[name] for name in CONFIG_COMMANDS if args[name])
+    try:
+        return command(args)
+    except ToolboxError as error:
+        sys.stderr.write(f"{error}\n")
+        return error.code
+    except BrokenPipeError:
+        # Whoever read our output has seen enough.
+        sys.stderr.close()
+        return FAILED
+    except KeyboardInterrupt:
+        return FAILED
--- /dev/null
+++ b/folio/rolls/duties.py
@@ -0,0 +1,335 @@
+"""Duties, cut by key over the live registries; a key changes hands under a fence.
+
+The wanted holder of a key is found by highest random weight over the live registries, so one that comes or goes
+moves only the keys it had or gets. Being wanted gives no right: a holder needs a lease from a majority of the voters,
+renewed each half second. A voter grants a key to one holder at a time, by its own steady clock; the holder counts
+from when it sent the request, so its lease has ended when a voter grants to the next.
+
+Each hand has a higher fence than the one before. A candidate first gets grants of a majority, which tell the highest
+fence they have seen; it takes a higher one, and holds the key when a majority has granted and noted that. Receivers
+of what a holder sends refuse a lower fence than they have seen, so that a late holder changes nothing.
+
+Voters keep nothing on disk. One that has just started, or has just become a voter, grants nothing for a term. As a
+fence may have been forgotten by then, its low bits are random, so that no two hands have the same one, and who meets
+a higher fence than the holder's reports it with `saw`: the holder then takes a higher one still.
+
+All times are seconds of a steady clock.
+"""
+
+import hashlib
+from collections.abc import Iterable
+from random import Random
+
+import msgspec
+
+RANDOM_BITS = 20
+
+
+class Seek(msgspec.Struct, array_like=True, tag="duties.seek"):
+    """Asks a voter for a key for `term` seconds. Fence 0: which fences have been seen?"""
+
+    key: str
+    token: int
+    fence: int
+    term: float
+
+
+class Granted(msgspec.Struct, array_like=True, tag="duties.granted"):
+    """The voter has the asker as the holder; `seen` is the highest fence it knows of."""
+
+    key: str
+    token: int
+    seen: int
+
+
+class Refused(msgspec.Struct, array_like=True, tag="duties.refused"):
+    """Another one has the key for `left` seconds more (holder "": the voter may have forgotten who)."""
+
+    key: str
+    token: int
+    seen: int
+    holder: str
+    left: float
+
+
+class Release(msgspec.Struct, array_like=True, tag="duties.release"):
+    """The sender gives up what it was granted up to `token`."""
+
+    key: str
+    token: int
+
+
+class Holding(msgspec.Struct, array_like=True, tag="duties.holding"):
+    """The sender holds the key; news for registries that do not vote."""
+
+    key: str
+    fence: int
+    left: float
+
+
+Message = Seek | Granted | Refused | Release | Holding
+Outbox = list[tuple[str, Message]]
+
+
+class DutyTerms(msgspec.Struct, frozen=True):
+    """Figures of the duties, in seconds; the same on all registries."""
+
+    term: float = 2.0  # a grant holds so long, from when it was asked for
+    margin: float = 0.1  # voters wait so much longer, for clocks that differ in speed by up to 2%
+    renew: float = 0.5
+    answer: float = 0.5  # a candidate gives up a round that has no majority by then
+    backoff: float = 0.3  # the longest random pause before it tries again
+    settle: float = 1.0  # a holder gives a key up once it has not been the wanted one for so long
+
+
+class Vote(msgspec.Struct):
+    """What a voter knows of one key."""
+
+    holder: str = ""
+    token: int = 0
+    until: float = float("-inf")
+    seen: int = 0
+
+
+class Hand(msgspec.Struct):
+    """A candidate's or holder's own state for one key."""
+
+    sent: dict[int, tuple[float, int]] = {}  # token -> (when, fence asked with)
+    grants: dict[str, tuple[float, int]] = {}  # voter -> (when the granted request was sent, its fence)
+    fence: int = 0
+    seen: int = 0
+    since: float | None = None  # when the round began; None = not seeking
+    held: bool = False
+    next_at: float = float("-inf")
+    unwanted: float | None = None  # since when another one is wanted
+    token: int = 0
+
+
+def wanted(key: str, registries: Iterable[str]) -> str | None:
+    """The registry that should hold the key: the one with the highest weight; None if there is none."""
+    return max(
+        registries,
+        key=lambda name: (hashlib.blake2b(f"{key}|{name}".encode(), digest_size=8).digest(), name),
+        default=None,
+    )
+
+
+class Duties:
+    """The duties of one registry, as a voter, a candidate and a holder.
+
+    `me` is the address others know this registry by. Messages that handle, tick and release return are to be sent to
+    the address beside them.
+    """
+
+    def __init__(
+        self, me: str, rng: Random, now: float, keys: Iterable[str], terms: DutyTerms | None = None
+    ) -> None:
+        self.me = me
+        self.terms = terms or DutyTerms()
+        self.keys = tuple(keys)
+        self._rng = rng
+        self._life = rng.getrandbits(30) << 32  # tokens of an earlier process are none of ours
+        self._silent_until = now + self.terms.term + self.terms.margin
+        self._voters: frozenset[str] | None = None
+        self._votes = {key: Vote() for key in self.keys}
+        self._hands = {key: Hand() for key in self.keys}
+        self._told: dict[str, tuple[str, float, int]] = {}  # key -> holder, until, fence
+        self._closing = False
+
+    def handle(self, sender: str, message: Message, now: float) -> Outbox:
+        """Takes a message. One for a key that is not known here is dropped."""
+        if message.key not in self._votes:
+            return []
+        if isinstance(message, Seek):
+            return self._route(self._on_seek(sender, message, now), now)
+        if isinstance(message, Granted):
+            return self._route(self._on_granted(sender, message, now), now)
+        if isinstance(message, Refused):
+            self._on_refused(message, now)
+        elif isinstance(message, Release):
+            self._on_release(sender, message, now)
+        elif isinstance(message, Holding):
+            self._tell(message.key, sender, now + message.left, message.fence)
+        return []
+
+    def tick(self, now: float, live: set[str], voters: set[str]) -> Outbox:
+        """Seeks, renews and gives up; to be called about ten times a second.
+
+        `live` are the registries heard from lately, `voters` those that vote.
+        """
+        if self._voters is None or voters != self._voters:
+            if self._voters is not None and self.me in voters and self.me not in self._voters:
+                # The holder may still count on the voters before, and we know nothing of its grants.
+                self._silent_until = max(self._silent_until, now + self.terms.term + self.terms.margin)
+            self._voters = frozenset(voters)
+        if self._closing:
+            return []
+        out: Outbox = []
+        for key in self.keys:
+            out += self._tend(key, self._hands[key], wanted(key, live | {self.me}), live, now)
+        return self._route(out, now)
+
+    def holds(self, key: str, now: float) -> int | None:
+        """The fence under which this registry holds the key at this moment, or None."""
+        hand = self._hands[key]
+        if not hand.fence or now >= self._end(hand, hand.fence):
+            return None
+        return hand.fence
+
+    def holder_of(self, key: str, now: float) -> str | None:
+        """Who holds the key as far as is known here; None = not known."""
+        if self.holds(key, now) is not None:
+            return self.me
+        told = self._told.get(key)
+        if told is None or now >= told[1] or told[0] == self.me:
+            return None
+        return told[0]
+
+    def saw(self, key: str, fence: int, now: float) -> Outbox:
+        """Somebody has obeyed this fence: a hand of ours that is not higher takes a higher one.
+
+        Until voters have noted that, the key is not held.
+        """
+        hand = self._hands[key]
+        hand.seen = max(hand.seen, fence)
+        if not hand.fence or hand.fence >= fence:
+            return []
+        return self._route(self._take_fence(key, hand, now), now)
+
+    def release(self, now: float) -> Outbox:
+        """Gives up every duty for good, before the process ends."""
+        self._closing = True
+        out: Outbox = []
+        for key in self.keys:
+            out += self._give_up(key, self._hands[key], now)
+        return self._route(out, now)
+
+    # What a voter does.
+
+    def _on_seek(self, sender: str, seek: Seek, now: float) -> Outbox:
+        vote = self._votes[seek.key]
+        if now < self._silent_until:
+            left = self._silent_until - now
+            return [(sender, Refused(seek.key, seek.token, vote.seen, "", left))]
+        if vote.holder not in ("", sender) and now < vote.until:
+            left = vote.until - now
+            return [(sender, Refused(seek.key, seek.token, vote.seen, vote.holder, left))]
+        vote.holder, vote.token = sender, seek.token
+        vote.until = now + seek.term + self.terms.margin
+        vote.seen = max(vote.seen, seek.fence)
+        if seek.fence:
+            self._tell(seek.key, sender, now + seek.term, seek.fence)
+        return [(sender, Granted(seek.key, seek.token, vote.seen))]
+
+    def _on_release(self, sender: str, release: Release, now: float) -> None:
+        vote = self._votes[release.key]
+        if vote.holder == sender and vote.token >> 32 == release.token >> 32 and vote.token <= release.token:
+            vote.holder, vote.until = "", float("-inf")
+            if self._hands[release.key].since is None:
+                self._hands[release.key].next_at = now
+        told = self._told.get(release.key)
+        if told is not None and told[0] == sender:
+            del self._told[release.key]
+
+    # What a candidate and a holder do.
+
+    def _tend(self, key: str, hand: Hand, who: str | None, live: set[str], now: float) -> Outbox:
+        if who == self.me:
+            hand.unwanted = None
+        elif hand.unwanted is None:
+            hand.unwanted = now
+        if hand.since is None:
+            if who != self.me or now < hand.next_at:
+                return []
+            hand.since = now
+            return self._seek(key, hand, now)
+        end = self._end(hand, hand.fence) if hand.fence else float("-inf")
+        if now >= end:
+            # No longer held, or not yet: a round gets a short time, as two that each keep a few grants block each
+            # other.
+            if not hand.held and now < hand.since + self.terms.answer:
+                return []
+            return self._give_up(key, hand, now)
+        hand.held = True
+        if hand.unwanted is not None and now - hand.unwanted >= self.terms.settle:
+            return self._give_up(key, hand, now)
+        if now < hand.next_at:
+            return []
+        out = self._seek(key, hand, now)
+        for name in live - (self._voters or frozenset()) - {self.me}:
+            out.append((name, Holding(key, hand.fence, end - now)))
+        return out
+
+    def _seek(self, key: str, hand: Hand, now: float) -> Outbox:
+        hand.token += 1
+        token = self._life | hand.token
+        hand.sent[token] = (now, hand.fence)
+        while len(hand.sent) > 16:
+            del hand.sent[next(iter(hand.sent))]
+        hand.next_at = now + self.terms.renew
+        seek = Seek(key, token, hand.fence, self.terms.term)
+        return [(voter, seek) for voter in sorted(self._voters or ())]
+
+    def _on_granted(self, sender: str, granted: Granted, now: float) -> Outbox:
+        hand = self._hands[granted.key]
+        sent = hand.sent.get(granted.token)
+        if sent is None or hand.since is None:
+            return []
+        hand.seen = max(hand.seen, granted.seen)
+        if sent[1] == hand.fence and (sender not in hand.grants or hand.grants[sender] < sent):
+            hand.grants[sender] = sent
+        if hand.fence and hand.seen > hand.fence:
+            return self._take_fence(granted.key, hand, now)
+        if not hand.fence and now < self._end(hand, 0):
+            return self._take_fence(granted.key, hand, now)
+        return []
+
+    def _on_refused(self, refused: Refused, now: float) -> None:
+        hand = self._hands[refused.key]
+        hand.seen = max(hand.seen, refused.seen)
+        if refused.holder and refused.holder != self.me:
+            self._tell(refused.key, refused.holder, now + refused.left, refused.seen)
+
+    def _take_fence(self, key: str, hand: Hand, now: float) -> Outbox:
+        above = max(hand.seen, hand.fence) >> RANDOM_BITS
+        hand.fence = (above + 1) << RANDOM_BITS | self._rng.getrandbits(RANDOM_BITS)
+        hand.grants, hand.held, hand.since = {}, False, now
+        return self._seek(key, hand, now)
+
+    def _give_up(self, key: str, hand: Hand, now: float) -> Outbox:
+        if hand.since is None:
+            return []
+        fresh = Hand()
+        fresh.token, fresh.seen, fresh.unwanted = hand.token, hand.seen, hand.unwanted
+        fresh.next_at = now + self._rng.uniform(0.1, 1.0) * self.terms.backoff
+        self._hands[key] = fresh
+        release = Release(key, self._life | hand.token)
+        return [(voter, release) for voter in sorted(self._voters or ())]
+
+    def _end(self, hand: Hand, fence: int) -> float:
+        """When the majority of grants for this fence runs out; the past, if there is no majority."""
+        voters = self._voters or frozenset()
+        if not voters:
+            return float("-inf")
+        times = sorted(when for name, (when, of) in hand.grants.items() if name in voters and of == fence)
+        need = len(voters) // 2 + 1
+        if len(times) < need:
+            return float("-inf")
+        return times[-need] + self.terms.term
+
+    # Both.
+
+    def _tell(self, key: str, holder: str, until: float, fence: int) -> None:
+        told = self._told.get(key)
+        if told is None or fence >= told[2] or until > told[1]:
+            self._told[key] = (holder, until, fence)
+
+    def _route(self, out: Outbox, now: float) -> Outbox:
+        """Carries out what this registry sends to itself."""
+        away: Outbox = []
+        for to, message in out:
+            if to == self.me:
+                away += self.handle(self.me, message, now)
+            else:
+                away.append((to, message))
+        return away
--- /dev/null
+++ b/folio/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets between the system's own processes and those who call `ctl`."""
--- /dev/null
+++ b/folio/transport/messages.py
@@ -0,0 +1,172 @@
+"""Everything that the system's own processes say to each other, in one union for the decoder."""
+
+from __future__ import annotations
+
+import zlib
+
+import msgspec
+
+from folio.accession.digest import DigestOffer, RangeRecords
+from folio.accession.quorum import Held as ReportHeld
+from folio.accession.quorum import Hold
+from folio.accession.register import Record
+from folio.charter import messages as charter
+from folio.lending.slices import Held, Lease
+from folio.rolls import duties
+from folio.rolls.sessions import SessionsTold
+
+PACK_FROM = 2048    # bytes of a body from which on it is packed
+
+
+class Struct(msgspec.Struct, array_like=True, frozen=True):
+    """A message."""
+
+
+# Between registries
+
+
+class Hello(Struct, tag="hello"):
+    """The first message of a connection between registries: whose it is."""
+
+    addr: str
+    life: str
+
+
+class Ping(Struct, tag="ping"):
+    """A sign of life. `echo` is the peer's newest `sent`; `last` the newest slot known here."""
+
+    sent: float
+    echo: float
+    last: int
+    registries: list[str] = []
+
+
+class Rows(Struct, tag="rows"):
+    """Records of servers that have just changed."""
+
+    records: list[Record]
+
+
+class Heard(Struct, tag="heard"):
+    """Servers of which a report has come: (id, seq)."""
+
+    told: list[tuple[str, int]]
+
+
+class Ask(Struct, tag="ask"):
+    """A desk's report for one duty, passed on to who holds it."""
+
+    desk: str
+    key: str
+    asks: dict[str, float]
+    held: Held
+
+
+class Lent(Struct, tag="lent"):
+    """The answer to Ask, to be passed on to the desk."""
+
+    desk: str
+    key: str
+    lease: Lease
+
+
+# Between a desk and its registry
+
+
+class Open(Struct, tag="open"):
+    """A desk opens its session, and says up to where it knows the log and the register."""
+
+    desk: str
+    life: int
+    hop: int
+    az: str
+    slot: int
+    register: str
+    place: int
+
+
+class Report(Struct, tag="report"):
+    """What a desk asked for by tenant (requests a second), and what it holds of each duty."""
+
+    asks: dict[str, float]
+    held: dict[str, Held]
+
+
+class Bye(Struct, tag="bye"):
+    """The desk stops."""
+
+
+class Welcome(Struct, tag="welcome"):
+    """The session stands. `registries`: where else one may be opened."""
+
+    addr: str
+    registries: list[str]
+
+
+class State(Struct, tag="state"):
+    """The configuration after `slot`, whole and packed."""
+
+    slot: int
+    body: bytes
+
+
+class Step(Struct, tag="step"):
+    """What slot `slot` did: a change (packed), or nothing that concerns a desk (no body)."""
+
+    slot: int
+    whole: bool = False
+    body: bytes = b""
+
+
+class Servers(Struct, tag="servers"):
+    """Records of servers, all (`whole`) or those changed; the place to follow on from."""
+
+    register: str
+    place: int
+    whole: bool
+    records: list[Record]
+
+
+class Quiet(Struct, tag="quiet"):
+    """All servers of which nothing has been heard for a while."""
+
+    ids: list[str]
+
+
+class Pulse(Struct, tag="pulse"):
+    """A sign of life: how many desks there are, the newest slot, and whether a majority is in touch."""
+
+    members: int
+    slot: int
+    in_touch: bool
+
+
+class Slice(Struct, tag="slice"):
+    """A lease for one duty."""
+
+    key: str
+    lease: Lease
+
+
+Message = (charter.Message | duties.Message | Hold | ReportHeld | DigestOffer | RangeRecords | SessionsTold
+           | Hello | Ping | Rows | Heard | Ask | Lent | Open | Report | Bye | Welcome | State | Step | Servers
+           | Quiet | Pulse | Slice)
+encode = msgspec.msgpack.Encoder().encode
+decode = msgspec.msgpack.Decoder(Message).decode
+
+
+def pack(body: bytes) -> bytes:
+    """A body as it travels: packed where that is worth it."""
+    return b"z" + zlib.compress(body, 2) if len(body) >= PACK_FROM else b"-" + body
+
+
+def unpack(body: bytes) -> bytes:
+    """The body again. Raises ValueError."""
+    if body[:1] == b"-":
+        return body[1:]
+    try:
+        if body[:1] == b"z":
+            return zlib.decompress(body[1:])
+    except zlib.error as error:
+        raise ValueError(f"packed body: {error}") from None
+    raise ValueError("a body of an unknown form")
--- /dev/null
+++ b/folio/vault/__init__.py
@@ -0,0 +1,1 @@
+"""What a machine keeps on its disk, in one sqlite3 database."""
--- /dev/null
+++ b/tests/folio/test_duties.py
@@ -0,0 +1,269 @@
+"""Duties under a fence: who holds a key while registries start, die, freeze and are cut off."""
+
+import heapq
+import unittest
+from random import Random
+
+from folio.rolls.duties import Duties, Granted, Refused, Release, Seek, wanted
+
+KEY = "quota/0"
+
+
+class World:
+    """Registries over a network with delays; clocks may differ in speed. One column of a timeline is one registry.
+
+    Words in a timeline: `up`, `die` (power goes), `cut` and `join` (its links), `stop` (releases, then dies),
+    `freeze` and `thaw`, `holds`, `not`, `.` (nothing).
+    """
+
+    def __init__(self, names, seed=1, drift=0.0, loss=0.0, voters=None):
+        self.rng = Random(seed)
+        self.names, self.voters = names, set(voters or names)
+        self.speed = {name: 1 + self.rng.uniform(-drift, drift) for name in names}
+        self.loss, self.now, self.count = loss, 0.0, 0
+        self.nodes, self.cut, self.frozen, self.flight = {}, set(), {}, []
+        self.fences, self.owners = [], {}
+
+    def clock(self, name):
+        return 1000.0 + self.now * self.speed[name]
+
+    def up(self, name):
+        self.nodes[name] = Duties(name, Random(self.rng.random()), self.clock(name), [KEY])
+
+    def die(self, name):
+        self.nodes.pop(name, None)
+
+    def stop(self, name):
+        self.send(name, self.nodes[name].release(self.clock(name)))
+        self.die(name)
+
+    def send(self, sender, out):
+        for to, message in out:
+            if not (self.cut & {sender, to}) and self.rng.random() >= self.loss:
+                self.count += 1
+                at = self.now + self.rng.uniform(0.001, 0.02)
+                heapq.heappush(self.flight, (at, self.count, sender, to, message))
+
+    def step(self, until):
+        """Plays on to `until` seconds, asking each registry ten times a second."""
+        while self.now < until - 1e-9:
+            tick = min(until, self.now + 0.1)
+            while self.flight and self.flight[0][0] <= tick:
+                self.now, _, sender, to, message = heapq.heappop(self.flight)
+                if to in self.nodes and to not in self.frozen and not (self.cut & {sender, to}):
+                    self.send(to, self.nodes[to].handle(sender, message, self.clock(to)))
+                    self.check()
+            self.now = tick
+            for name, node in list(self.nodes.items()):
+                if name not in self.frozen:
+                    live = {name}
+                    if name not in self.cut:
+                        live |= set(self.nodes) - self.cut - set(self.frozen)
+                    self.send(name, node.tick(self.clock(name), live, self.voters))
+                    self.check()
+
+    def check(self):
+        """At most one registry holds the key, and hands have fences of their own."""
+        holders = {
+            name: fence
+            for name, node in self.nodes.items()
+            if (fence := node.holds(KEY, self.clock(name))) is not None
+        }
+        assert len(holders) <= 1, f"{self.now}: {holders}"
+        for name, fence in holders.items():
+            assert self.owners.setdefault(fence, name) == name, "two hands have one fence"
+            if not self.fences or self.fences[-1] != fence:
+                self.fences.append(fence)
+
+    def play(self, case, timeline):
+        head, *lines = [line.split() for line in timeline.strip().splitlines()]
+        for at, *words in lines:
+            self.step(float(at))
+            for name, word in zip(head[1:], words, strict=True):
+                if word in ("holds", "not"):
+                    fence = self.nodes[name].holds(KEY, self.clock(name))
+                    case.assertEqual(fence is not None, word == "holds", f"{name} at {at}")
+                elif word == "cut":
+                    self.cut.add(name)
+                elif word == "join":
+                    self.cut.discard(name)
+                elif word == "freeze":
+                    self.frozen[name] = True
+                elif word == "thaw":
+                    del self.frozen[name]
+                elif word != ".":
+                    getattr(self, word)(name)
+
+
+def ranked(count):
+    """Names of registries, the wanted one first."""
+    left, names = [f"10.1.0.{i}:8407" for i in range(count)], []
+    while left:
+        names.append(wanted(KEY, left))
+        left.remove(names[-1])
+    return names
+
+
+class TimelineTest(unittest.TestCase):
+    def run_timeline(self, timeline, count=3, **how):
+        world = World(ranked(count), **how)
+        columns = timeline.strip().splitlines()[0].split()[1:]
+        names = dict(zip(columns, world.names, strict=True))
+        for column, name in names.items():
+            timeline = timeline.replace(column, name)
+        world.play(self, timeline)
+        self.assertEqual(world.fences, sorted(world.fences))
+        return world
+
+    def test_after_a_start_nobody_holds_for_a_term_then_the_wanted_one_does(self):
+        self.run_timeline("""
+            time  r1     r2   r3
+            0     up     up   up
+            1.9   not    not  not
+            3.5   holds  not  not
+            9     holds  not  not
+        """)
+
+    def test_a_dead_holder_is_followed_after_its_lease_and_gets_the_key_back(self):
+        world = self.run_timeline("""
+            time  r1     r2     r3
+            0     up     up     up
+            4     holds  not    not
+            5     die    .      .
+            6     .      not    not
+            8.5   .      holds  not
+            9     up     .      .
+            14    holds  not    not
+        """)
+        self.assertEqual(len(world.fences), 3)
+
+    def test_a_holder_cut_off_ends_before_the_next_begins(self):
+        self.run_timeline("""
+            time  r1     r2     r3
+            0     up     up     up
+            4     holds  .      .
+            5     cut    .      .
+            7.2   not    .      .
+            9     not    holds  not
+            10    join   .      .
+            13.5  holds  not    not
+        """)
+
+    def test_a_frozen_holder_wakes_without_the_key(self):
+        self.run_timeline("""
+            time  r1      r2     r3
+            0     up      up     up
+            4     freeze  .      .
+            7.5   not     holds  .
+            8     thaw    .      .
+            8     not     holds  .
+            12    holds   not    not
+        """)
+
+    def test_a_release_hands_over_at_once(self):
+        self.run_timeline("""
+            time  r1     r2     r3
+            0     up     up     up
+            4     holds  not    not
+            5     stop   .      .
+            5.4   .      holds  not
+        """)
+
+    def test_all_voters_die_at_once_and_a_later_hand_is_not_mistaken_for_an_earlier(self):
+        world = World(ranked(3))
+        for name in world.names:
+            world.up(name)
+        world.step(4)
+        before = world.fences[-1]
+        for name in world.names:
+            world.die(name)
+            world.up(name)
+        world.step(8)
+        after, holder = world.fences[-1], world.names[0]
+        self.assertNotEqual(before, after)
+        # A receiver that has obeyed a much higher fence says so.
+        world.send(holder, world.nodes[holder].saw(KEY, before + (5 << 20), world.clock(holder)))
+        self.assertIsNone(world.nodes[holder].holds(KEY, world.clock(holder)))
+        world.step(8.3)
+        self.assertGreater(world.nodes[holder].holds(KEY, world.clock(holder)), before + (5 << 20))
+
+    def test_registries_without_a_vote_may_hold_and_learn_who_does(self):
+        names = ranked(5)
+        world = World(names, voters=names[2:])
+        for name in names:
+            world.up(name)
+        world.step(4)
+        for name in names:
+            self.assertEqual(world.nodes[name].holder_of(KEY, world.clock(name)), names[0])
+
+
+class RandomTest(unittest.TestCase):
+    def test_never_two_holders(self):
+        """Random deaths, cuts and freezes, 1% drift, 5% loss; World.check looks after each message."""
+        for seed in range(12):
+            world = World(ranked(3 + seed % 3), seed=seed, drift=0.01, loss=0.05)
+            held = steps = 0
+            for name in world.names:
+                world.up(name)
+            while world.now < 40:
+                world.step(world.now + world.rng.uniform(0.2, 2.0))
+                name = world.rng.choice(world.names)
+                match world.rng.randrange(6):
+                    case 0:
+                        world.die(name)
+                        world.frozen.pop(name, None)
+                    case 1:
+                        world.cut = {name}
+                    case 2:
+                        world.cut = set()
+                    case 3 if name in world.nodes:
+                        world.frozen = {name: True}
+                    case 4:
+                        world.frozen = {}
+                    case 5:
+                        for other in set(world.names) - set(world.nodes):
+                            world.up(other)
+                steps += 1
+                held += any(node.holds(KEY, world.clock(n)) for n, node in world.nodes.items())
+            self.assertEqual(len(world.fences), len(set(world.fences)))
+            world.cut, world.frozen = set(), {}
+            for other in set(world.names) - set(world.nodes):
+                world.up(other)
+            world.loss = 0.0
+            world.step(world.now + 5)
+            self.assertIsNotNone(world.nodes[world.names[0]].holds(KEY, world.clock(world.names[0])))
+
+
+class VoterTest(unittest.TestCase):
+    def setUp(self):
+        self.voter = Duties("v", Random(1), 0.0, [KEY])
+        self.voter.tick(0.0, {"v"}, {"v", "a", "b"})
+
+    def test_a_voter_grants_nothing_in_its_first_term(self):
+        (_, answer), = self.voter.handle("a", Seek(KEY, 1, 0, 2.0), 1.9)
+        self.assertIsInstance(answer, Refused)
+        (_, answer), = self.voter.handle("a", Seek(KEY, 1, 0, 2.0), 2.2)
+        self.assertIsInstance(answer, Granted)
+
+    def test_a_late_release_of_an_earlier_process_frees_nothing(self):
+        self.voter.handle("a", Seek(KEY, (7 << 32) + 3, 0, 2.0), 3.0)
+        self.voter.handle("a", Release(KEY, (6 << 32) + 9), 3.1)
+        (_, answer), = self.voter.handle("b", Seek(KEY, 1, 0, 2.0), 3.2)
+        self.assertEqual(answer.holder, "a")
+        self.voter.handle("a", Release(KEY, (7 << 32) + 3), 3.3)
+        (_, answer), = self.voter.handle("b", Seek(KEY, 1, 0, 2.0), 3.4)
+        self.assertIsInstance(answer, Granted)
+
+    def test_keys_spread_and_move_only_with_their_registry(self):
+        names = {f"10.0.{i}.1:80" for i in range(6)}
+        keys = [f"quota/{i}" for i in range(200)]
+        before = {key: wanted(key, names) for key in keys}
+        self.assertEqual(set(before.values()), names)
+        gone = min(names)
+        for key in keys:
+            if before[key] != gone:
+                self.assertEqual(wanted(key, names - {gone}), before[key])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/folio/test_sessions.py
@@ -0,0 +1,268 @@
+"""Membership and failure detection.
+
+Timelines have one column for each registry. A cell holds ``open DESK LIFE [HOP]``, ``renew DESK``,
+``close DESK LIFE``, ``tick``, ``tell X`` (all or what changed, as X needs), ``restart LIFE``, and what is
+expected: ``?members DESK=REGISTRY ...``, ``?count N``.
+"""
+
+import random
+import unittest
+
+import msgspec
+
+from folio.rolls.detector import Detector
+from folio.rolls.sessions import Roll, SessionsTold
+
+
+class Timeline:
+    def __init__(self, case, text):
+        lines = [line for line in text.splitlines() if line.strip()]
+        self.case = case
+        self.names = [name.strip() for name in lines[0].split("|")[1:]]
+        self.rolls = {name: Roll(name, "1") for name in self.names}
+        self.known = {}  # (teller, told) -> counter up to which it was told
+        for line in lines[1:]:
+            time, *cells = (cell.strip() for cell in line.split("|"))
+            for name, cell in zip(self.names, cells, strict=False):
+                for step in filter(None, (part.strip() for part in cell.split(";"))):
+                    self.step(name, step.split(), float(time), line)
+
+    def step(self, name, words, now, line):
+        roll, (verb, *args) = self.rolls[name], words
+        if verb == "open":
+            roll.opened(args[0], args[1], now, int((args[2:] or [0])[0]))
+        elif verb == "renew":
+            for desk in args:
+                roll.renewed(desk, now)
+        elif verb == "close":
+            roll.closed(args[0], args[1], now)
+        elif verb == "tick":
+            roll.tick(now)
+        elif verb == "tell":
+            for other in args:
+                self.tell(roll, other, now)
+        elif verb == "restart":
+            self.rolls[name] = Roll(name, args[0])
+            self.known = {pair: at for pair, at in self.known.items() if name not in pair}
+        elif verb == "?members":
+            members = [f"{desk}={registry}" for desk, registry in sorted(roll.members(now).items())]
+            self.case.assertEqual(members, args, line)
+        elif verb == "?count":
+            self.case.assertEqual(roll.count(now), int(args[0]), line)
+        else:
+            raise ValueError(line)
+
+    def tell(self, roll, other, now):
+        for after in (self.known.get((roll.me, other), 0), 0):
+            told = msgspec.msgpack.decode(msgspec.msgpack.encode(roll.own(now, after)), type=SessionsTold)
+            if self.rolls[other].take(told, now):
+                self.known[roll.me, other] = told.counter
+                return
+        self.case.fail("a whole state must be taken")
+
+
+class Membership(unittest.TestCase):
+    def test_a_desk_that_moves_is_one_member(self):
+        Timeline(self, """
+            time | r1                       | r2
+            0    | open d 7 1; open e 1     |
+            0.5  | renew e; tell r2         | ?members d=r1 e=r1
+            1    | renew e; close d 7       | ?count 2; open d 7 2; tell r1
+            1.1  | ?members d=r2 e=r1; ?count 2; tell r2 | ?members d=r2 e=r1
+            """)
+
+    def test_a_session_forgotten_by_its_desk_does_not_win(self):
+        # r1 has not noticed that d is gone from it; d's newer session is at r2, though r2 told it first.
+        Timeline(self, """
+            time | r1                       | r2           | r3
+            0    | open d 7 1               |
+            1    |                          | open d 7 2; tell r3
+            2    | renew d; tell r3         |              | ?members d=r2
+            3    | close d 7; tell r3       |              | ?members d=r2
+            4    |                          | renew d; open d 8 1; tell r1 r3 | ?members d=r2
+            """)
+
+    def test_a_session_opened_late_by_a_slow_registry_does_not_win(self):
+        Timeline(self, """
+            time | r1                  | r2
+            1    |                     | open d 7 2
+            1.2  | open d 7 1; tell r2 | ?members d=r2
+            """)
+
+    def test_what_is_missing_is_asked_for(self):
+        owner, other = Roll("r1", "1"), Roll("r2", "1")
+        owner.opened("d", "1", 0.0)
+        first = owner.own(0.0)
+        owner.opened("e", "1", 0.1)
+        second = owner.own(0.1, 1)
+        owner.opened("f", "1", 0.2)
+        self.assertFalse(other.take(second, 0.2))
+        self.assertTrue(other.take(first, 0.3))
+        self.assertFalse(other.take(owner.own(0.3, 2), 0.3))
+        self.assertTrue(other.take(second, 0.3))
+        self.assertTrue(other.take(owner.own(0.3, 2), 0.3))
+        self.assertTrue(other.take(first, 0.4))
+        self.assertEqual(sorted(other.members(0.4)), ["d", "e", "f"])
+
+    def test_sessions_that_are_not_renewed_end(self):
+        Timeline(self, """
+            time | r1                        | r2
+            0    | open d 1; open e 1; tick  |
+            0.9  | renew d e; tick           |
+            1.8  | renew d; tick             |
+            2.6  | renew d; tick             |
+            3.4  | renew d; tick; tell r2    | ?members d=r1 e=r1
+            3.5  | tick; ?members d=r1; ?count 2; tell r2 | ?members d=r1; ?count 2
+            7    | ?count 1                  | ?count 1
+            """)
+
+    def test_a_registry_that_stood_still_blames_nobody(self):
+        Timeline(self, """
+            time | r1
+            0    | open d 1; tick
+            0.5  | renew d; tick
+            9    | tick; ?members d=r1
+            9.5  | renew d; tick; ?members d=r1
+            """)
+
+    def test_the_sessions_of_a_silent_registry_lapse_after_a_term(self):
+        Timeline(self, """
+            time | r1                    | r2
+            0    | open d 1; open e 1; tell r2 | tick
+            0.9  |                       | tick
+            1.8  |                       | tick
+            2.7  |                       | tick
+            3    |                       | open d 1 2; ?members d=r2 e=r1; tick
+            3.9  |                       | renew d; tick
+            4.8  |                       | renew d; tick
+            5.7  |                       | renew d; tick
+            6.6  |                       | renew d; tick
+            7.5  |                       | renew d; tick; ?members d=r2 e=r1
+            8.1  |                       | renew d; tick; ?members d=r2
+            9    | renew e; tell r2      | ?members d=r2 e=r1
+            """)
+
+    def test_a_new_life_of_a_registry_starts_empty(self):
+        timeline = Timeline(self, """
+            time | r1                    | r2
+            0    | open d 1; open e 1; tell r2 | ?members d=r1 e=r1
+            1    | restart 2; open d 1 2; tell r2 | ?members d=r1; ?count 2
+            """)
+        late = SessionsTold("r1", "1", 0, 2, [], [])
+        self.assertTrue(timeline.rolls["r2"].take(late, 1.5))
+        self.assertEqual(timeline.rolls["r2"].members(1.5), {"d": "r1"})
+
+    def test_every_loss_and_order_of_messages_ends_in_the_owners_state(self):
+        for seed in range(60):
+            rng = random.Random(seed)
+            owner, other, now, wire, acked = Roll("r1", "1"), Roll("r2", "1"), 0.0, [], 0
+            for _ in range(200):
+                now += 0.01
+                desk = f"d{rng.randrange(8)}"
+                kind = rng.random()
+                if kind < 0.2:
+                    owner.opened(desk, str(rng.randrange(2)), now)
+                elif kind < 0.4:
+                    owner.closed(desk, str(rng.randrange(2)), now)
+                elif kind < 0.5:
+                    owner.renewed(desk, now, {"t": rng.randrange(3)})
+                elif kind < 0.8:
+                    wire.append(owner.own(now, acked))
+                elif wire:
+                    told = wire.pop(rng.randrange(len(wire)))
+                    if rng.random() < 0.7:
+                        acked = other.have("r1")[1] if other.take(told, now) else 0
+            while not other.take(owner.own(now, acked), now):
+                acked = 0
+            self.assertEqual(other.members(now), owner.members(now), seed)
+            ours, theirs = owner.sessions(now), other.sessions(now)
+            self.assertEqual({d: s.asks for d, s in ours.items()}, {d: s.asks for d, s in theirs.items()})
+
+
+def signs(rng, jitter, loss, seconds):
+    """Arrival times of signs of life sent each 250 ms, with exponential delays and lost ones."""
+    times = [0.25 * n + rng.expovariate(1 / jitter) for n in range(int(seconds * 4)) if rng.random() >= loss]
+    return sorted(times)
+
+
+class Detection(unittest.TestCase):
+    def test_time_to_detect_and_false_alarms_by_jitter(self):
+        # mean delay s, lost share -> most s until found dead, most of the time that it is wrongly dead,
+        # suspect
+        table = (
+            (0.005, 0.0, 1.1, 0.0, 0.0),
+            (0.02, 0.02, 1.3, 0.0002, 0.002),
+            (0.1, 0.02, 1.7, 0.0002, 0.002),
+            (0.25, 0.05, 2.3, 0.0005, 0.005),
+            (0.5, 0.05, 3.0, 0.001, 0.015),
+        )
+        for jitter, loss, longest, wrong, doubted in table:
+            with self.subTest(jitter=jitter, loss=loss):
+                dead = suspect = checks = 0
+                found = []
+                for seed in range(12):
+                    detector, now = Detector(), 2.0
+                    for at in signs(random.Random(seed), jitter, loss, 60):
+                        while now < at:
+                            state = detector.state("p", now)
+                            checks += 1
+                            dead += state == "dead"
+                            suspect += state == "suspect"
+                            now += 0.05
+                        detector.heard("p", at)
+                    last = now = at
+                    while detector.state("p", now) != "dead":
+                        now += 0.02
+                    found.append(now - last)
+                self.assertLessEqual(max(found), longest)
+                self.assertGreaterEqual(min(found), 0.8)
+                self.assertLessEqual(dead / checks, wrong)
+                self.assertLessEqual(suspect / checks, doubted)
+
+    def test_slow_is_not_dead(self):
+        detector = Detector()
+        for n in range(100):
+            detector.heard("late", n * 0.6)
+            detector.heard("far", n * 0.25, trip=0.9)
+            detector.heard("well", n * 0.25, trip=0.01)
+        self.assertEqual(detector.state("late", 99 * 0.6 + 0.5), "slow")
+        self.assertEqual(detector.state("far", 99 * 0.25 + 0.2), "slow")
+        self.assertEqual(detector.state("well", 99 * 0.25 + 0.2), "alive")
+        for n in range(60):  # slowness passes as quickly as it came
+            detector.heard("late", 60 + n * 0.25)
+        self.assertEqual(detector.state("late", 75.0), "alive")
+
+    def test_our_own_pause_is_not_held_against_peers(self):
+        detector = Detector()
+        for n in range(40):
+            detector.heard("p", n * 0.25)
+            detector.tick(n * 0.25)
+        self.assertEqual(detector.state("p", 14.0), "dead")
+        self.assertGreater(detector.tick(14.0), 3.0)
+        self.assertNotEqual(detector.state("p", 14.0), "dead")
+        for n in range(1, 9):  # but if nothing comes now, it is dead after all
+            detector.tick(14.0 + n * 0.25)
+        self.assertEqual(detector.state("p", 16.0), "dead")
+
+    def test_a_long_outage_does_not_slow_the_next_detection(self):
+        detector = Detector()
+        for start in (0.0, 20.0):
+            for n in range(40):
+                detector.heard("p", start + n * 0.25)
+        self.assertEqual(detector.state("p", 29.75 + 1.1), "dead")
+
+    def test_in_touch_means_more_than_half(self):
+        detector = Detector()
+        for n in range(20):
+            for peer in ("r2", "r3"):
+                detector.heard(peer, n * 0.25)
+        detector.watch("r4", 4.75)
+        self.assertTrue(detector.in_touch(5.0, ["r1", "r2", "r3", "r4", "r5"], "r1"))
+        self.assertFalse(detector.in_touch(5.0, ["r2", "r3", "r4", "r5"], "r1"))
+        self.assertFalse(detector.in_touch(9.0, ["r1", "r2", "r3"], "r1"))
+        self.assertTrue(detector.in_touch(9.0, ["r1"], "r1"))
+        self.assertFalse(detector.in_touch(5.0, [], "r1"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/folio/test_slices.py
@@ -0,0 +1,324 @@
+"""Slices of quotas: what desks may use together never exceeds the quota, and follows what is asked."""
+
+import heapq
+import unittest
+from random import Random
+
+from folio.lending.slices import PARTS, Held, Holdings, Lender, LendingTerms, floor_rate
+
+TENANTS = ("large", "small")
+
+
+class World:
+    """Desks and a giver over links that hold messages back while cut. One column of a timeline is one desk.
+
+    Words in a timeline: `up`, `die`, `restart`, `cut`, `join`, a number (it asks so many a second of `large`),
+    `=0.25` (its share, give or take 0.02), `none` (it has no lease), `.` (nothing). In the giver's column:
+    `take` (a new giver that knows the desks), `blind` (one that does not), `gone`.
+    """
+
+    def __init__(self, desks, seed=1, drift=0.0, late=0.0):
+        self.rng = Random(seed)
+        self.names = [f"d{i}" for i in range(1, desks + 1)]
+        self.late, self.now, self.count, self.fence, self.life = late, 0.0, 0, 0, 0
+        self.speed = {name: 1 + self.rng.uniform(-drift, drift) for name in [*self.names, "giver"]}
+        self.drift = drift
+        self.holdings, self.cut, self.asks, self.next = {}, set(), {}, {}
+        self.known, self.lender, self.flight, self.arrival = set(), None, [], {}
+        self.most = 0.0
+
+    def clock(self, name):
+        return 500.0 + self.now * self.speed[name]
+
+    def up(self, name):
+        self.life += 1
+        self.holdings[name] = Holdings(self.life)
+        self.next[name] = self.now + self.rng.uniform(0, 0.5)
+        self.asks.setdefault(name, 0.0)
+
+    def die(self, name):
+        self.holdings.pop(name, None)
+
+    restart = up
+
+    def take(self, known):
+        self.fence += 1
+        self.speed["giver"] = 1 + self.rng.uniform(-self.drift, self.drift)
+        self.lender = Lender(self.fence, known, max(1, len(self.holdings)), self.clock("giver"))
+
+    def send(self, way, name, message, epoch):
+        """Links keep their order; what is late holds up what follows."""
+        delay = self.rng.uniform(0.001, 0.02)
+        if self.rng.random() < self.late:
+            delay = self.rng.uniform(0.5, 9.0)
+        at = max(self.arrival.get((way, name, epoch), 0.0), self.now + delay)
+        self.arrival[way, name, epoch] = at
+        self.count += 1
+        heapq.heappush(self.flight, (at, self.count, way, name, message, epoch))
+
+    def step(self, until):
+        while self.now < until - 1e-9:
+            tick = min(until, self.now + 0.05)
+            while self.flight and self.flight[0][0] <= tick:
+                self.now, _, way, name, message, fence = heapq.heappop(self.flight)
+                self.deliver(way, name, message, fence)
+                self.check()
+            self.now = tick
+            self.check()
+            for name, holdings in self.holdings.items():
+                if self.now >= self.next[name]:
+                    self.report(name, holdings)
+
+    def report(self, name, holdings):
+        self.next[name] = self.now + 0.5
+        asks = {"large": self.asks[name], "small": 0.0}
+        self.send("up", name, (asks, holdings.to_report(self.clock(name))), self.fence)
+
+    def deliver(self, way, name, message, fence):
+        if name in self.cut and self.rng.random() < 0.5:
+            return
+        if name in self.cut:  # held back by the cut, and delivered when it ends
+            self.send(way, name, message, fence)
+        elif way == "up" and self.lender is not None:
+            asks, held = message
+            self.lender.expect = max(1, len(self.holdings.keys() - self.cut))
+            lease = self.lender.report(name, asks, held, self.clock("giver"))
+            if lease is not None:
+                self.known.add(name)
+                self.send("down", name, lease, self.fence)
+        elif way == "down" and name in self.holdings:
+            holdings = self.holdings[name]
+            if holdings.take(message, self.clock(name)):
+                self.report(name, holdings)
+
+    def used(self, tenant):
+        return sum(holdings.share(tenant, self.clock(name)) or 0 for name, holdings in self.holdings.items())
+
+    def check(self):
+        for tenant in TENANTS:
+            used = self.used(tenant)
+            self.most = max(self.most, used)
+            assert used <= 1 + 1e-9, f"{tenant} at {self.now}: {used}"
+
+    def play(self, case, timeline):
+        lines = [line.split() for line in timeline.strip().splitlines()]
+        for at, giver, *words in lines[1:]:
+            self.step(float(at))
+            for name, word in zip(self.names, words, strict=True):
+                if word == "none":
+                    case.assertIsNone(self.holdings[name].share("large", self.clock(name)), f"{name} at {at}")
+                elif word.startswith("="):
+                    share = self.holdings[name].share("large", self.clock(name))
+                    case.assertAlmostEqual(share or 0.0, float(word[1:]), delta=0.02, msg=f"{name} at {at}")
+                elif word == "cut":
+                    self.cut.add(name)
+                elif word == "join":
+                    self.cut.discard(name)
+                elif word[0].isdigit():
+                    self.asks[name] = float(word)
+                elif word != ".":
+                    getattr(self, word)(name)
+            if giver == "take":
+                self.take(set(self.known))
+            elif giver == "blind":
+                self.take(None)
+            elif giver == "gone":
+                self.lender = None
+
+
+class TimelineTest(unittest.TestCase):
+    def run_timeline(self, timeline):
+        world = World(len(timeline.strip().splitlines()[0].split()) - 2)
+        world.play(self, timeline)
+
+    def test_a_start_gives_even_shares_in_the_first_answer(self):
+        self.run_timeline("""
+            time  giver  d1     d2     d3     d4
+            0     .      up     up     up     up
+            0     take   .      .      .      .
+            0.7   .      =0.25  =0.25  =0.25  =0.25
+        """)
+
+    def test_shares_follow_the_asks_within_two_rounds_of_reports(self):
+        self.run_timeline("""
+            time  giver  d1     d2     d3     d4
+            0     .      up     up     up     up
+            0     take   .      .      .      .
+            2     .      30     10     0      0
+            3.2   .      =0.65  =0.25  =0.05  =0.05
+            5     .      0      0      0      0
+            6.2   .      =0.25  =0.25  =0.25  =0.25
+        """)
+
+    def test_a_desk_cut_off_keeps_its_share_for_a_term_and_only_then_others_get_it(self):
+        self.run_timeline("""
+            time  giver  d1     d2     d3
+            0     .      up     up     up
+            0     take   10     10     10
+            2     .      cut    .      .
+            3     .      .      20     .
+            7     .      =0.33  =0.4   .
+            10.2  .      none   .      .
+            12    .      none   =0.63  =0.37
+            13    .      join   .      .
+            14.7  .      =0.27  =0.47  =0.27
+        """)
+
+    def test_a_restarted_desk_gets_a_share_at_once(self):
+        self.run_timeline("""
+            time  giver  d1       d2
+            0     .      up       up
+            0     take   10       10
+            2     .      restart  .
+            2     .      none     =0.5
+            2.7   .      =0.5     =0.5
+        """)
+
+    def test_a_new_giver_that_knows_the_desks_takes_over_in_two_rounds(self):
+        self.run_timeline("""
+            time  giver  d1     d2     d3
+            0     .      up     up     up
+            0     take   30     10     0
+            3     gone   =0.67  =0.27  =0.07
+            5     take   =0.67  =0.27  =0.07
+            6     .      =0.67  =0.27  =0.07
+            7     .      0      10     30
+            8.2   .      =0.07  =0.27  =0.67
+        """)
+
+    def test_a_new_giver_that_misses_a_desk_gives_its_share_only_after_a_term(self):
+        self.run_timeline("""
+            time  giver  d1     d2     d3
+            0     .      up     up     up
+            0     take   30     10     0
+            3     gone   =0.67  .      .
+            3     .      die    .      .
+            3     take   .      .      .
+            6     .      .      =0.27  =0.07
+            9     .      .      =0.27  =0.07
+            12.8  .      .      =0.9   =0.1
+        """)
+
+    def test_a_giver_that_knows_nothing_lends_only_what_desks_still_hold_for_a_term(self):
+        self.run_timeline("""
+            time  giver  d1     d2     d3
+            0     .      up     up     .
+            0     take   10     10     .
+            3     blind  .      die    up
+            5.2   .      =0.5   .      none
+            11    .      =0.5   .      none
+            13    .      =0.9   .      =0.1
+        """)
+
+
+class RandomTest(unittest.TestCase):
+    def test_the_sum_of_shares_never_exceeds_the_quota(self):
+        """Cut-offs, late and lost messages, restarts, new givers, 1% drift; World.check looks at each step."""
+        most = 0.0
+        for seed in range(24):
+            world = World(10, seed=seed, drift=0.01, late=(0.01, 0.1)[seed % 2])
+            for name in world.names:
+                world.up(name)
+            world.take(set())
+            while world.now < 60:
+                world.step(world.now + world.rng.uniform(0.1, 1.5))
+                name = world.rng.choice(world.names)
+                match world.rng.randrange(12):
+                    case 0:
+                        world.restart(name)
+                    case 1:
+                        world.die(name)
+                    case 2 | 3:
+                        world.cut.add(name)
+                    case 4 | 5:
+                        world.cut.clear()
+                    case 6:
+                        world.take(set(world.known))
+                        if seed % 3 == 0:  # the next one follows before all have met this one
+                            world.step(world.now + world.rng.uniform(0.0, 0.3))
+                            world.take(set(world.known))
+                    case 7 if world.rng.random() < 0.3:
+                        world.take(None)
+                    case 8:
+                        for other in set(world.names) - set(world.holdings):
+                            world.up(other)
+                    case _:
+                        world.asks[name] = world.rng.choice([0.0, 1.0, 20.0, 300.0])
+            most = max(most, world.most)
+            # Left in peace, all is lent again.
+            world.cut.clear()
+            world.late = 0.0
+            for other in set(world.names) - set(world.holdings):
+                world.up(other)
+            world.step(world.now + 30)
+            self.assertGreater(world.used("large"), 0.99)
+            self.assertGreater(world.used("small"), 0.99)
+        self.assertGreater(most, 0.99)
+
+
+class LenderTest(unittest.TestCase):
+    def test_a_raise_waits_until_the_lowering_is_confirmed(self):
+        lender, one, two = Lender(1, set(), 2, 0.0), Holdings(1), Holdings(1)
+        for holdings, desk in ((one, "one"), (two, "two")):
+            holdings.take(lender.report(desk, {"t": 5.0}, holdings.to_report(0.1), 0.1), 0.1)
+        lowered = lender.report("one", {"t": 0.0}, one.to_report(0.5), 0.5)  # under way
+        blocked = lender.report("two", {"t": 5.0}, two.to_report(0.6), 0.6)
+        self.assertLessEqual(blocked.shares["t"], PARTS // 2)
+        self.assertTrue(one.take(lowered, 0.7))
+        lender.report("one", {"t": 0.0}, one.to_report(0.7), 0.7)
+        raised = lender.report("two", {"t": 5.0}, two.to_report(0.8), 0.8)
+        self.assertAlmostEqual(raised.shares["t"] / PARTS, 0.9, places=3)
+
+    def test_a_giver_whose_time_is_over_gives_nothing(self):
+        lender = Lender(4, set(), 1, 0.0)
+        self.assertIsNone(lender.report("one", {"t": 1.0}, Held(1, 0.0, 5, 1, 2.0, {"t": 9}), 0.0))
+        holdings = Holdings(1)
+        new, old = Lender(5, set(), 1, 0.0), lender.report("one", {"t": 1.0}, holdings.to_report(0.0), 0.0)
+        self.assertTrue(holdings.take(new.report("one", {"t": 1.0}, holdings.to_report(0.1), 0.1), 0.1))
+        self.assertFalse(holdings.take(old, 0.2))
+        self.assertEqual(holdings.fence, 5)
+
+    def test_an_answer_of_the_giver_before_that_is_still_under_way_is_reckoned_with(self):
+        old, one, two = Lender(1, set(), 2, 0.0), Holdings(1), Holdings(1)
+        one.take(old.report("one", {"t": 5.0}, one.to_report(0.1), 0.1), 0.1)
+        raised = old.report("one", {"t": 5.0}, one.to_report(0.2), 0.2)
+        raised.shares["t"] = PARTS  # as much as was free
+        new = Lender(2, {"one"}, 2, 0.3)
+        first = new.report("one", {"t": 5.0}, one.to_report(0.4), 0.4)
+        two.take(new.report("two", {"t": 5.0}, two.to_report(0.4), 0.4), 0.4)
+        two.take(new.report("two", {"t": 5.0}, two.to_report(0.5), 0.5), 0.5)
+        one.take(raised, 0.5)
+        self.assertEqual((one.share("t", 0.5), two.share("t", 0.5)), (1.0, None))
+        one.take(first, 0.6)  # the fence alone: what it holds has changed since it reported
+        one.take(new.report("one", {"t": 5.0}, one.to_report(0.7), 0.7), 0.7)
+        two.take(new.report("two", {"t": 5.0}, two.to_report(0.8), 0.8), 0.8)
+        self.assertEqual((one.share("t", 0.8), two.share("t", 0.8)), (1.0, None))
+
+    def test_late_reports_and_ended_processes_get_no_answer(self):
+        lender, old, new = Lender(1, set(), 1, 0.0), Holdings(1), Holdings(2)
+        late = old.to_report(0.0)
+        self.assertIsNotNone(lender.report("one", {"t": 1.0}, old.to_report(0.1), 0.1))
+        self.assertIsNone(lender.report("one", {"t": 1.0}, late, 0.2))
+        self.assertIsNotNone(lender.report("one", {"t": 1.0}, new.to_report(0.3), 0.3))
+        self.assertIsNone(lender.report("one", {"t": 1.0}, old.to_report(0.4), 0.4))
+        lender.leave("one", 2, 0.5)
+        self.assertEqual(lender.used("t"), 0.0)
+        self.assertIsNone(lender.report("one", {"t": 1.0}, new.to_report(0.6), 0.6))
+
+    def test_a_process_whose_life_went_back_is_served_after_a_term_of_silence(self):
+        terms = LendingTerms()
+        lender, high, low = Lender(1, set(), 1, 0.0), Holdings(9), Holdings(3)
+        lender.report("one", {"t": 1.0}, high.to_report(0.0), 0.0)
+        self.assertIsNone(lender.report("one", {"t": 1.0}, low.to_report(1.0), 1.0))
+        later = terms.term + terms.margin + 0.5
+        self.assertIsNotNone(lender.report("one", {"t": 1.0}, low.to_report(later), later))
+
+    def test_all_desks_on_the_floor_use_less_than_the_slack(self):
+        for desks in (1, 14, 96):
+            each = floor_rate(81, 81, 5, 0.1, 20, desks)
+            self.assertLess(each * desks, 0.6 * (20 + 0.1 * (81 * 5 + 81)))
+        self.assertEqual(floor_rate(0, 0, 5, 0.1, 20, 3), float("inf"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -3,8 +3,10 @@
 import pytest
 from conftest import READY, SAFE, UNSAFE, World, kinds, make_settings
 
-from fennelpoint import control
+from fennelpoint import choice
 from fennelpoint import interface as api
+from fennelpoint import window
+from fennelpoint.state import Try
 
 
 def drive(world: World, seconds: float, per_second: int, reply) -> dict[str, int]:
@@ -68,7 +70,7 @@
 def test_trust_returns_when_the_trouble_passes():
     world = three()
     drive(world, 4.0, 20, lambda b: (api.Status.ERROR, 0.005) if b == "a" else (api.Status.OK, 0.1))
-    world.wait(4 * control.SLOW_HALF)
+    world.wait(4 * choice.SLOW_HALF)
     sent = drive(world, 5.0, 20, lambda b: (api.Status.OK, 0.1))
     assert sent["a"] > 0.5 * sent["b"]
 
@@ -76,7 +78,7 @@
 def test_if_all_look_bad_all_are_used():
     world = three()
     for b in world.control.fleet.ready:
-        world.control._fail(b, world.now)
+        world.control.choice.fail(b, world.now)
     pool = {a.backend for i in range(12) for a in world.ask(customer=i) if isinstance(a, api.Send)}
     assert pool == {"a", "b", "c"}
 
@@ -86,32 +88,32 @@
     world = World(make_settings())
     world.backends("a")
     drive(world, 2.0, 10, lambda b: (api.Status.OK, 0.1))
-    before = world.control.window
+    before = world.control.window.size
     drive(world, 3.0, 10, lambda b: None)
-    assert world.control.window < 0.7 * before
+    assert world.control.window.size < 0.7 * before
 
 
 def test_window_grows_while_answers_are_quick_and_shrinks_while_they_are_late():
     world = World(make_settings())
     world.backends("a")
-    world.control.window = 4.0
+    world.control.window.size = 4.0
     drive(world, 4.0, 60, lambda b: (api.Status.OK, 0.1))
-    grown = world.control.window
+    grown = world.control.window.size
     assert grown > 5.0
     drive(world, 6.0, 60, lambda b: (api.Status.OK, 0.6))
-    assert world.control.window < 0.7 * grown
+    assert world.control.window.size < 0.7 * grown
 
 
 def test_ingress_rests_while_its_window_is_under_one_attempt():
     """One attempt from each of many ingresses can still be too much (incident ia57e96)."""
     world = World(make_settings())
     world.backends("a", "b")
-    world.control.window, world.control.pressure = 0.5, 1.0
+    world.control.window.size, world.control.window.pressure = 0.5, 1.0
     (send,) = world.ask()
     world.now += 1.0
     world.answer(send.request, send.backend, latency=1.0)
     assert world.ask(customer=2) == []
-    assert world.now < world.control.rest_until <= world.now + control.REST_MOST
+    assert world.now < world.control.window.rest_until <= world.now + window.REST_MOST
 
 
 def test_few_stalled_backends_do_not_close_the_window():
@@ -119,8 +121,8 @@
     world = World(make_settings())
     world.backends("a")
     for latency in (40.0, 0.1, 0.1, 0.1, 0.1, 0.1):
-        world.control._press(latency, latency, world.now)
-    assert world.control.pressure <= control.TARGET
+        world.control.window.press(latency, latency, world.now)
+    assert world.control.window.pressure <= window.TARGET
 
 
 def test_large_fleet_is_used_in_part_and_in_whole_when_that_part_is_away():
@@ -133,7 +135,7 @@
         for a in world.ask(customer=customer):
             used.add(a.backend)
             world.answer(a.request, a.backend)
-    assert len(used) == control.CANDIDATES
+    assert len(used) == choice.CANDIDATES
     for name in used:
         world.control.fleet.known[name].rest_until = world.now + 9.0
     (send,) = world.ask(customer=999)
@@ -144,11 +146,11 @@
     world = World(make_settings())
     world.roster(api.BackendEntry("far", READY, zone=1), api.BackendEntry("near", READY, zone=0))
     near, far = (world.control.fleet.known[name] for name in ("near", "far"))
-    t = control.Try(api.Request(1, SAFE, 0, 1, 4.0, 1.0, 2.0, 0.0), None, 0.0, 0.0, 1.0)
-    cost = [world.control._cost(b, 1.0, t, world.now) for b in (near, far)]
-    assert cost[1] == pytest.approx(control.NEAR_TIE * cost[0])
+    t = Try(api.Request(1, SAFE, 0, 1, 4.0, 1.0, 2.0, 0.0), None, 0.0, 0.0, 1.0)
+    cost = [world.control.choice.cost(b, 1.0, t, world.now) for b in (near, far)]
+    assert cost[1] == pytest.approx(choice.NEAR_TIE * cost[0])
     near.load += 1.0
-    assert world.control._cost(near, 1.0, t, world.now) > cost[1]  # no tie any more
+    assert world.control.choice.cost(near, 1.0, t, world.now) > cost[1]  # no tie any more
 
 
 @pytest.mark.parametrize("via", ["none", "answers", "probe"])
@@ -176,7 +178,7 @@
         world = World(make_settings(ingresses=ingresses))
         world.backends("a")
         sent = sum(api.Send in kinds(world.ask(customer=i)) for i in range(30))
-        assert sent == max(1, int(control.FIRST_OUT / ingresses))
+        assert sent == max(1, int(window.FIRST_OUT / ingresses))
 
 
 def test_failures_in_a_row_make_a_backend_rest_even_where_most_look_bad():
@@ -221,4 +223,4 @@
     for send in sends:
         world.answer(send.request, send.backend, api.Status.RESET, latency=0.1)
     backend = world.control.fleet.known["a"]
-    assert backend.fails == 1 and backend.slow <= control.FAILED
+    assert backend.fails == 1 and backend.slow <= choice.FAILED
--- a/tests/test_bans.py
+++ b/tests/test_bans.py
@@ -42,15 +42,15 @@
     world.give(api.Withdraw("a"))
     world.wait(1.0)
     world.give(api.Restore("a"))    # one call ends it
-    assert world.control._cold_share(backend, world.now) == world.settings.cold_share
+    assert world.control.choice.cold_share(backend, world.now) == world.settings.cold_share
     assert 0 < sent(world, 40).get("a", 0) < 20
     world.wait(world.settings.ramp_time)
-    assert world.control._cold_share(backend, world.now) == 1.0
+    assert world.control.choice.cold_share(backend, world.now) == 1.0
     # The list tells late of the start it had meanwhile: it is no warmer for that.
     world.give(api.Withdraw("a"))
     world.give(api.Restore("a"))
     world.roster(api.BackendEntry("a", READY, started_at=world.now - 50.0), kind=api.RosterKind.CHANGES)
-    assert world.control._cold_share(world.control.fleet.known["a"], world.now) == world.settings.cold_share
+    assert world.control.choice.cold_share(world.control.fleet.known["a"], world.now) == world.settings.cold_share
 
 
 def test_start_that_the_list_told_of_meanwhile_is_where_the_ramp_begins(world):
@@ -59,13 +59,13 @@
     world.roster(api.BackendEntry("a", READY, started_at=world.now), kind=api.RosterKind.CHANGES)
     world.wait(5.0)
     world.give(api.Restore("a"))
-    share = world.control._cold_share(world.control.fleet.known["a"], world.now)
+    share = world.control.choice.cold_share(world.control.fleet.known["a"], world.now)
     assert share == pytest.approx(0.2 + 0.8 * 0.5)
 
 
 def test_put_back_without_a_ban_it_stays_warm(world):
     world.give(api.Restore("a"))
-    assert world.control._cold_share(world.control.fleet.known["a"], world.now) == 1.0
+    assert world.control.choice.cold_share(world.control.fleet.known["a"], world.now) == 1.0
 
 
 def test_what_waits_goes_on_once_the_only_backend_is_back():
--- a/tests/test_beyond.py
+++ b/tests/test_beyond.py
@@ -55,7 +55,7 @@
                     ceiling_burst=20.0)
     world = World(make_settings(plans=[plan], most_units=1.0))
     world.backends("a", "b")
-    world.control.window = 1000.0
+    world.control.window.size = 1000.0
     world.wait(3.0)     # a process that has just begun has no units under a ceiling yet
     return sum(isinstance(a, api.Send) for _ in range(20) for a in world.ask(plan=0, width=width))
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -3,7 +3,7 @@
 from conftest import READY, SAFE, World, make_settings
 
 from fennelpoint import interface as api
-from fennelpoint.control import CANDIDATES
+from fennelpoint.choice import CANDIDATES
 
 
 def reporting_world(**changes) -> World:
--- a/tests/test_design.py
+++ b/tests/test_design.py
@@ -3,12 +3,11 @@
 import pytest
 from conftest import HARD, SOFT, World, make_settings
 
-from fennelpoint import control
-from fennelpoint.control import Fit
-from fennelpoint.state import Cut
+from fennelpoint import regions
+from fennelpoint.regions import Cut, Fit
 
 
-def fit_of(*points: tuple[float, float], memory: float = control.FIT_MEMORY) -> Fit:
+def fit_of(*points: tuple[float, float], memory: float = regions.FIT_MEMORY) -> Fit:
     fit = Fit()
     for x, y in points:
         fit.add(x, y, memory)
@@ -40,9 +39,9 @@
 def customer(world: World, key: int, plan: int, rate: float, ratio: float, worth: float):
     """A customer as the end of a period finds it."""
     world.ask(plan=plan, customer=key)
-    c = world.control.customers[key]
-    world.control.active[key] = c
-    c.rate, c.sent, c.ratio, c.ratios, c.worth = rate, rate * control.PERIOD, ratio, [ratio], worth
+    c = world.control.quotas.customers[key]
+    world.control.regulator.active[key] = c
+    c.rate, c.sent, c.ratio, c.ratios, c.worth = rate, rate * regions.PERIOD, ratio, [ratio], worth
     return c
 
 
@@ -52,18 +51,18 @@
 
 
 def regulate(world: World) -> None:
-    world.control._regulate(world.now, control.PERIOD)
+    world.control.regulator.regulate(regions.PERIOD)
 
 
 def cut_keys(world: World) -> list[int]:
-    return [c.key for c, _ in world.control.cut.takes]
+    return [c.key for c, _ in world.control.regulator.cut.takes]
 
 
 def test_nobody_is_cut_while_nobody_fails(quiet):
     customer(quiet, 1, SOFT, rate=50.0, ratio=0.5, worth=1.0)
     customer(quiet, 2, HARD, rate=50.0, ratio=2.0, worth=1.0)  # exceeded: over quota and late
     regulate(quiet)
-    assert quiet.control.cut is None
+    assert quiet.control.regulator.cut is None
 
 
 def test_candidates_go_lucky_exceeded_by_least_worth_and_meet_stays(quiet):
@@ -82,7 +81,7 @@
     meet = customer(quiet, 5, HARD, rate=1.9, ratio=0.5, worth=0.1)
     regulate(quiet)
     assert cut_keys(quiet) == [] and meet.cap is None
-    quiet.control.cut = None
+    quiet.control.regulator.cut = None
     customer(quiet, 2, SOFT, rate=1.0, ratio=2.0, worth=2.0)
     customer(quiet, 1, HARD, rate=1.0, ratio=2.0, worth=1.0)
     customer(quiet, 5, HARD, rate=1.9, ratio=0.5, worth=0.1)
@@ -95,30 +94,30 @@
     lucky = customer(quiet, 2, SOFT, rate=50.0 / 6, ratio=0.5, worth=2.0)
     total = 10.0  # units a second
     regulate(quiet)
-    assert quiet.control.cut.takes[0][1] == pytest.approx(control.STEP * total)
-    assert lucky.cap == pytest.approx(lucky.rate - control.STEP * total)
+    assert quiet.control.regulator.cut.takes[0][1] == pytest.approx(regions.STEP * total)
+    assert lucky.cap == pytest.approx(lucky.rate - regions.STEP * total)
 
 
 def test_steps_scale_with_confidence(quiet):
     for i in range(40):
-        quiet.control.fit.add(10.0 + i % 5, 0.2 + 0.01 * (i % 5), control.FIT_MEMORY)  # a sharp fit
-    quiet.control.work = 12.0 * control.PERIOD
+        quiet.control.regulator.fit.add(10.0 + i % 5, 0.2 + 0.01 * (i % 5), regions.FIT_MEMORY)  # a sharp fit
+    quiet.control.regulator.work = 12.0 * regions.PERIOD
     customer(quiet, 1, HARD, rate=10.0 / 6, ratio=2.0, worth=1.0)
     customer(quiet, 2, SOFT, rate=50.0 / 6, ratio=0.5, worth=2.0)
     regulate(quiet)
-    assert quiet.control.cut.takes[0][1] == pytest.approx(control.FULL_STEP * control.STEP * 10.0)
+    assert quiet.control.regulator.cut.takes[0][1] == pytest.approx(regions.FULL_STEP * regions.STEP * 10.0)
 
 
-def regions_of(world: World, **groups):
+def groups_of(world: World, **groups):
     return {"lucky": [], "exceeded": [], "meet": [], "failed": [], **groups}
 
 
 def test_reasons_to_decide_afresh(quiet):
     c = customer(quiet, 1, SOFT, rate=2.0, ratio=0.5, worth=1.0)
     made = Cut([], worst=1.5, rates={1: 2.0}, lucky={1}, predicted=0.5)
-    quiet.control.cut = made
-    afresh = quiet.control._afresh
-    steady = regions_of(quiet, lucky=[c])
+    quiet.control.regulator.cut = made
+    afresh = quiet.control.regulator._afresh
+    steady = groups_of(quiet, lucky=[c])
     assert not afresh(steady, worst=1.4, seen=0.5)
     assert afresh(steady, worst=1.6, seen=0.5)          # the failing latency rose
     made.lucky.clear()
@@ -132,16 +131,16 @@
 
 def test_decision_stands_for_m_steps(quiet):
     first = None
-    for step in range(control.STEPS):
+    for step in range(regions.STEPS):
         customer(quiet, 1, HARD, rate=1.0, ratio=2.0 + step, worth=1.0)
         customer(quiet, 2, SOFT, rate=5.0, ratio=0.5, worth=2.0)
         regulate(quiet)
-        first = first or quiet.control.cut
-        if step < control.STEPS - 1:
-            assert quiet.control.cut is first
+        first = first or quiet.control.regulator.cut
+        if step < regions.STEPS - 1:
+            assert quiet.control.regulator.cut is first
     customer(quiet, 1, HARD, rate=1.0, ratio=9.0, worth=1.0)
     regulate(quiet)
-    assert quiet.control.cut is not first
+    assert quiet.control.regulator.cut is not first
 
 
 def test_room_goes_back_by_worth_and_not_below_the_average(quiet):
@@ -159,6 +158,6 @@
     """A crushed rate must not set the pace of its own recovery (incident i82d844)."""
     c = customer(quiet, 1, HARD, rate=0.0, ratio=0.5, worth=1.0)
     c.cap = 0.0
-    for _ in range(int(10.0 / control.PERIOD)):
+    for _ in range(int(10.0 / regions.PERIOD)):
         regulate(quiet)
     assert c.cap is None
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -116,7 +116,7 @@
     world.roster(*(api.BackendEntry(name, READY) for name in "ab"))
     world.ask(SAFE, HARD)
     world.wait(5.0)
-    customer = world.control.customers[1]
+    customer = world.control.quotas.customers[1]
     world.give(api.Part(1.0))
     level = customer.level
     world.give(api.Part(0.25))
@@ -131,7 +131,7 @@
         world = World(make_settings(has_counter=False))
         world.backends("a", "b")
         world.give(api.Part(part))
-        world.control.window = 12.0
+        world.control.window.size = 12.0
         return sum(isinstance(a, api.Send) for i in range(30) for a in world.ask(SAFE, customer=100 + i))
 
     assert (out(1.0), out(0.75), out(0.25)) == (12, 9, 3)
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -593,7 +593,7 @@
     world.give(api.BodyWhole(1))
     assert world.control.fleet.ages(world.now) == [0.0]
     world.wait(0.5)
-    customer = world.control.customers[1]
+    customer = world.control.quotas.customers[1]
     world.answer(1, send.backend, latency=0.5)
     assert customer.ratios == [pytest.approx(0.5)]
 
@@ -607,8 +607,8 @@
     control = world.control
     assert control.fleet.out == 0 and control.fleet.known["a"].load == 0.0
     assert control.fleet.ages(world.now) == []
-    assert control.customers[1].open == 1   # it has it open still
+    assert control.quotas.customers[1].open == 1   # it has it open still
     world.wait(9.0)
     world.answer(1, "a", latency=0.2)
-    assert control.customers[1].open == 0 and control.fleet.out == 0
-    assert control.customers[1].ratio < 0.3
+    assert control.quotas.customers[1].open == 0 and control.fleet.out == 0
+    assert control.quotas.customers[1].ratio < 0.3
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -3,8 +3,10 @@
 import pytest
 from conftest import CAPPED, HARD, READY, SOFT, World, kinds, make_settings
 
-from fennelpoint import control
+from fennelpoint import choice
 from fennelpoint import interface as api
+from fennelpoint import quota, window
+from fennelpoint.state import Try
 
 INGRESSES = 200
 FAST, SLOW = 0.002, 0.045  # s for an answer of a counter whose time-out is 0.05 s
@@ -95,33 +97,33 @@
             actions = reply(world, status)
         assert kinds(actions) == [api.Send]
         world.answer(actions[0].request, actions[0].backend)
-    assert calls <= 60 and world.control.asking == control.LEAST_ASKING
+    assert calls <= 60 and world.control.quotas.asking == quota.LEAST_ASKING
 
 
 def test_slow_counter_is_asked_less_and_a_quick_one_more():
     world = sparse()
     for latency, compare in ((SLOW, float.__lt__), (FAST, float.__gt__)):
-        before = world.control.asking
+        before = world.control.quotas.asking
         for customer in range(40):
             ask(world, customer=customer)
             if world.counts:
                 reply(world, latency=latency)
-        assert compare(world.control.asking, before)
+        assert compare(world.control.quotas.asking, before)
 
 
 def test_answer_in_half_of_the_time_out_does_not_count_as_crowded():
     """Between zones an idle counter took a third of it, and was asked ever less."""
     world = sparse()
-    world.control.asking = 0.8
+    world.control.quotas.asking = 0.8
     while not world.counts:
         ask(world, customer=world.ids)
     reply(world, latency=0.025)
-    assert world.control.asking > 0.8
+    assert world.control.quotas.asking > 0.8
 
 
 def test_amount_stands_for_the_tries_that_do_not_ask():
     world = sparse()
-    world.control.asking = 0.5
+    world.control.quotas.asking = 0.5
     while not world.counts:
         ask(world, customer=world.ids)
     assert world.counts[0].amount == 2.0
@@ -130,7 +132,7 @@
 def test_repeats_are_not_let_in_unasked():
     """With a counter that is crowded a client's repeat was most likely refused before for its quota."""
     world = sparse()
-    world.control.asking = control.LEAST_ASKING
+    world.control.quotas.asking = quota.LEAST_ASKING
     world.ids += 1
     actions = world.give(api.Request(world.ids, 0, HARD, 1, 4.0, 1.0, float(INGRESSES), 0.0, is_repeat=True))
     assert kinds(actions) == [api.Refuse] and world.counts == []
@@ -140,7 +142,7 @@
     world = sparse()
     ask(world)
     assert kinds(reply(world, total=float("nan"))) == [api.Send]
-    assert world.control.asking < 1.0
+    assert world.control.quotas.asking < 1.0
 
 
 def test_customer_seen_over_its_quota_stays_out_while_the_counter_is_silent():
@@ -172,16 +174,16 @@
 def test_work_of_a_choice_does_not_grow_with_the_fleet():
     world, looked = World(make_settings(ingresses=INGRESSES)), 0
     world.backends(*(f"s{i:03}" for i in range(500)))
-    cost = world.control._cost
+    cost = world.control.choice.cost
 
     def counted(*args) -> float:
         nonlocal looked
         looked += 1
         return cost(*args)
 
-    world.control._cost = counted
+    world.control.choice.cost = counted
     world.ask()
-    assert 0 < looked <= control.CANDIDATES
+    assert 0 < looked <= choice.CANDIDATES
 
 
 def test_many_ingresses_spread_over_alike_backends():
@@ -219,13 +221,13 @@
     world = probing()
     world.ask()
     world.give(api.ProbeResult("a", api.Status.OK, 0.002, [0.0, 1.0]))
-    assert kinds(world.wait(2 * control.PROBE_WAIT)) == [api.Send]
+    assert kinds(world.wait(2 * choice.PROBE_WAIT)) == [api.Send]
 
 
 def test_report_that_stays_out_looks_busy():
     """Reports that stop just from busy backends: no word must not look like an idle one."""
     world = probing()
-    world.control.usual_held = 1.5
+    world.control.choice.usual_held = 1.5
     world.ask()
     world.give(api.ProbeResult("a", api.Status.OK, 0.002, [0.0, 2.0]))
     (send,) = world.give(api.ProbeResult("b", api.Status.OK, 0.002, []))
@@ -235,10 +237,10 @@
 def test_old_idle_report_is_not_trusted():
     world = probing()
     backend, other = (world.control.fleet.known[name] for name in "ab")
-    world.control.usual_held = 4.0
-    world.control._report(backend, [0.0, 0.0], world.now)
-    t = control.Try(api.Request(1, 0, 0, 1, 4.0, 1.0, 2.0, 0.0), None, 0.0, 0.0, 1.0, picked=[backend])
-    cost, late = world.control._cost, world.now + 8 * control.REPORT_HALF
+    world.control.choice.usual_held = 4.0
+    world.control.choice.report(backend, [0.0, 0.0], world.now)
+    t = Try(api.Request(1, 0, 0, 1, 4.0, 1.0, 2.0, 0.0), None, 0.0, 0.0, 1.0, picked=[backend])
+    cost, late = world.control.choice.cost, world.now + 8 * choice.REPORT_HALF
     assert cost(backend, 1.0, t, world.now) < 0.5 * cost(other, 1.0, t, world.now)
     assert cost(backend, 1.0, t, late) > 0.9 * cost(other, 1.0, t, late)
 
@@ -246,7 +248,7 @@
 @pytest.mark.parametrize("values", [[float("nan"), 1.0], [-5.0], [float("inf"), float("inf")]])
 def test_report_that_is_no_number_never_reaches_a_decision(values):
     world = probing()
-    world.control._report(world.control.fleet.known["a"], values, world.now)
+    world.control.choice.report(world.control.fleet.known["a"], values, world.now)
     assert 0.0 <= world.control.fleet.known["a"].reported < 100.0
 
 
@@ -263,7 +265,7 @@
         ask(world, customer=customer)
         if world.counts:
             reply(world, total=50.0)
-    world.control.asking = 0.0
+    world.control.quotas.asking = 0.0
     assert kinds(ask(world, customer=1000)) == [api.Refuse]
     assert kinds(ask(world, customer=1001, plan=SOFT)) == [api.Send]  # its excess costs nothing
 
@@ -271,7 +273,7 @@
 def told_of_room() -> World:
     """The first tries of some customers were told that there was room, and enough may be out."""
     world = sparse()
-    world.control.window = 100.0
+    world.control.window.size = 100.0
     for customer in range(10):
         ask(world, customer=customer)
         reply(world)
@@ -281,10 +283,10 @@
 def unasked_second_try(pressure: float = 0.0, silent: bool = False) -> type:
     """A second try of a customer here, while the odds of its plan are good: its even share is used up."""
     world = told_of_room()
-    world.control.asking, world.control.pressure = 0.0, pressure
+    world.control.quotas.asking, world.control.window.pressure = 0.0, pressure
     ask(world, customer=1000)
     if silent:
-        world.now += 2 * control.SILENT_AFTER
+        world.now += 2 * quota.SILENT_AFTER
     return kinds(ask(world, customer=1000))[0]
 
 
@@ -293,7 +295,7 @@
 
 
 def test_unasked_try_goes_by_the_even_share_where_room_is_short_or_the_counter_silent():
-    assert unasked_second_try(pressure=control.TARGET) is api.Refuse
+    assert unasked_second_try(pressure=window.TARGET) is api.Refuse
     assert unasked_second_try(silent=True) is api.Refuse
 
 
@@ -301,7 +303,7 @@
     world = told_of_room()
     ask(world, customer=1000)
     reply(world, total=50.0)
-    world.control.asking = 0.0
+    world.control.quotas.asking = 0.0
     assert kinds(ask(world, customer=1000)) == [api.Refuse]
     assert kinds(ask(world, customer=1001)) == [api.Send]
 
@@ -309,20 +311,20 @@
 def test_second_try_of_a_customer_soon_after_goes_by_odds_of_its_own():
     """Its first try at an ingress mostly has room; who is met again within the window asks far more."""
     world = sparse()
-    world.control.window = 200.0
+    world.control.window.size = 200.0
     for customer in range(30):
         ask(world, customer=customer)
         reply(world)
         ask(world, customer=customer)
         reply(world, total=50.0)
-    world.control.asking = 0.0
+    world.control.quotas.asking = 0.0
     assert kinds(ask(world, customer=1000)) == [api.Send]
     assert kinds(ask(world, customer=1000)) == [api.Refuse]
 
 
 def test_repeats_leave_a_crowded_counter_to_first_tries():
     world = sparse()
-    world.control.asking = 0.7
+    world.control.quotas.asking = 0.7
     for _ in range(40):
         world.ids += 1
         world.give(api.Request(world.ids, 0, HARD, world.ids, 4.0, 1.0, float(INGRESSES), 0.0,
