--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -43,12 +43,12 @@
         world.ask()
         world.wait(1.0)
         world.count_replies(totals=totals)  # nobody else asks
-    assert world.control.customers[1].share == pytest.approx(1.0)
+    assert world.control.quotas.customers[1].share == pytest.approx(1.0)
     for _ in range(4):
         world.ask()
         world.wait(1.0)
         world.count_replies(totals=totals, others=9.0)
-    customer = world.control.customers[1]
+    customer = world.control.quotas.customers[1]
     assert customer.share == pytest.approx(0.1, abs=0.03)
     assert customer.level <= world.settings.most_units  # units went with the share
 
@@ -60,7 +60,7 @@
         world.wait(2.0)
         world.count_replies(totals=totals, others=1.0)
     # one unit a second of four is asked, half of it here: the even share of the unused part is under that
-    assert world.control.customers[1].share == pytest.approx(0.5, abs=0.05)
+    assert world.control.quotas.customers[1].share == pytest.approx(0.5, abs=0.05)
 
 
 def test_silent_counter_means_even_share_and_backs_off():
@@ -75,7 +75,7 @@
         world.wait(1.0)
         calls += len(world.counts)
         world.count_replies(status=api.Status.TIMEOUT)
-    customer = world.control.customers[1]
+    customer = world.control.quotas.customers[1]
     assert customer.share == 0.5
     assert calls <= 8  # one a second would be 20
     world.wait(10.0)
@@ -96,11 +96,11 @@
     world.ask()
     world.wait(1.0)
     world.count_replies(totals=totals)
-    assert world.control.customers[1].share == 0.5
+    assert world.control.quotas.customers[1].share == 0.5
     world.ask()
     world.wait(1.5)
     world.count_replies(totals=totals)
-    assert world.control.customers[1].share == pytest.approx(1.0)
+    assert world.control.quotas.customers[1].share == pytest.approx(1.0)
 
 
 def test_lost_call_is_told_again_only_when_it_surely_was_not_added():
@@ -145,7 +145,7 @@
         world.ask(customer=customer)
         world.answer(world.ids, world.actions[0].backend)
         world.wait(0.5)
-    assert len(world.control.customers) <= 2 * 15.0 + 2 and not world.control.line.open
+    assert len(world.control.quotas.customers) <= 2 * 15.0 + 2 and not world.control.line.open
 
 
 def test_soft_plan_runs_lucky_and_hard_plan_stays_inside():
@@ -180,14 +180,14 @@
     assert api.Send not in kinds(world.ask(plan=SLOTS))  # one of two slots is ours
     world.give(api.ClientGone(send.request))
     world.answer(send.request, send.backend, api.Status.TIMEOUT)
-    assert world.control.customers[1].open in (0, 1)
+    assert world.control.quotas.customers[1].open in (0, 1)
     world.wait(2.0)
-    assert all(c.open <= 1 for c in world.control.customers.values())
+    assert all(c.open <= 1 for c in world.control.quotas.customers.values())
     world.ask(plan=SLOTS, customer=2)
     other = world.actions[0]
     world.give(api.ClientGone(other.request))
     world.answer(other.request, other.backend)
-    assert world.control.customers[2].open == 0
+    assert world.control.quotas.customers[2].open == 0
 
 
 def test_restart_holds_only_the_even_share_while_the_counter_is_silent():
@@ -195,7 +195,7 @@
     assert admitted(world, 20) == 4
     world.wait(1.0)
     world.count_replies(status=api.Status.TIMEOUT)
-    assert world.control.customers[1].share == 0.5
+    assert world.control.quotas.customers[1].share == 0.5
 
 
 def test_site_without_a_counter_keeps_the_even_share():
@@ -209,7 +209,7 @@
 def test_dearer_held_try_goes_first():
     world = World(make_settings())
     world.backends("a")
-    sent = [world.ask(customer=i)[0] for i in range(int(world.control.window))]
+    sent = [world.ask(customer=i)[0] for i in range(int(world.control.window.size))]
     assert world.ask(customer=11) == []
     cheap = world.ids
     world.ask(cls=UNSAFE, plan=SOFT, customer=12, left=6.0)
@@ -221,9 +221,9 @@
 def test_settled_units_are_taken_or_given_back():
     world = wide()
     (send,) = world.ask(units=2.0)
-    before = world.control.customers[1].level
+    before = world.control.quotas.customers[1].level
     world.give(api.Outcome(send.request, 0, send.backend, api.Status.OK, 0.1, True, true_units=3.0))
-    assert world.control.customers[1].level == pytest.approx(before - 1.0)
+    assert world.control.quotas.customers[1].level == pytest.approx(before - 1.0)
 
 
 def test_customer_that_moves_to_another_ingress_takes_its_quota_along():
@@ -238,7 +238,7 @@
         for world in (left, right):
             world.wait(1.0)
             world.count_replies(totals=totals)
-        shares.append(asking.control.customers[1].share)
+        shares.append(asking.control.quotas.customers[1].share)
     assert shares[7] > 0.9 and shares[15] > 0.9
 
 
@@ -247,7 +247,7 @@
     for _ in range(100):
         sent += kinds(world.ask()).count(api.Send)
         sent += kinds(world.wait(0.02)).count(api.Send)
-    customer = world.control.customers[1]
+    customer = world.control.quotas.customers[1]
     told = sum(c.amount for c in world.counts)
     assert told + customer.fresh + customer.spared + customer.held == 100.0
     assert sent <= 4 + 2 * 2 + 2  # the burst's half, two units a second here, one held
@@ -274,7 +274,7 @@
             break
         world.answer(sends[0].request, "a")
     assert world.control.timers.at[TOKEN_PUMP] - world.now > 0.1
-    (customer,) = world.control.customers.values()
+    (customer,) = world.control.quotas.customers.values()
     customer.calling = 1.0
     world.give(api.CounterReply(customer.key, api.Status.OK, 5.0, 0.001))
     assert world.control.timers.at[TOKEN_PUMP] - world.now < 0.03
@@ -287,10 +287,10 @@
         world.answer(send.request, send.backend)
     world.wait(20.0)
     for customer in (1, 2):
-        world.control.customers[customer].cap = 1.0     # cut meanwhile
+        world.control.quotas.customers[customer].cap = 1.0     # cut meanwhile
     for customer in range(10, 14):
         world.ask(customer=customer)
-    assert 3 not in world.control.customers
+    assert 3 not in world.control.quotas.customers
 
 
 def test_try_that_no_backend_has_had_is_refused_before_half_of_its_time():
@@ -313,5 +313,5 @@
     world.wait(8.0)
     world.ask()
     world.count_replies(totals=totals, others=5.0)      # a burst elsewhere, now
-    customer, plan = world.control.customers[1], world.settings.plans[HARD]
+    customer, plan = world.control.quotas.customers[1], world.settings.plans[HARD]
     assert customer.store == pytest.approx(plan.burst - 6.0)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -300,9 +300,9 @@
 
         async with world(*(Backend(answer, 0.02) for _ in range(8))) as made:
             control = made.ingress.host.controller
-            before = control.window
+            before = control.window.size
             gets = [status(a) for a in await asyncio.gather(*(ask(made, request()) for _ in range(24)))]
             assert next(turned_away, None) is None
-            assert gets.count(SERVED) > 12 and control.window > before / 4
+            assert gets.count(SERVED) > 12 and control.window.size > before / 4
 
     run(play())
