Take settings that are null as left out

Cause: a machine without a disk is told datadir null, which ended its start. Change: null counts as left out.

--- a/folio/boot.py
+++ b/folio/boot.py
@@ -93,10 +93,17 @@
         return f"{self.ip}:{self.port_range[0]}"
 
 
+def _told(value: object) -> object:
+    """Without what is null: the same as left out."""
+    if isinstance(value, dict):
+        return {name: _told(each) for name, each in value.items() if each is not None}
+    return value
+
+
 def parse(data: bytes) -> Boot:
     """The settings in `data`. Raises BootError naming the field."""
     try:
-        boot = msgspec.json.decode(data, type=Boot)
+        boot = msgspec.convert(_told(msgspec.json.decode(data)), Boot)
     except msgspec.ValidationError as error:
         raise BootError(str(error)) from None
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
--- a/folio/lending/budget.py
+++ b/folio/lending/budget.py
@@ -1,9 +1,10 @@
 """The budget of further tries: how many requests a desk may send to a second server.
 
-The rule binds all machines together: in any window a service may receive `ratio` x the requests for it + `slack`
-further arrivals. Each desk keeps to a part of it by itself, so nothing has to be asked: `ratio` counts for the
-requests it sent on itself, and the slack is cut evenly. Only PART of either is used; the rest is left to desks that
-restart, to counts of desks that differ, and to windows that are laid otherwise than ours.
+The rule binds all machines together: in any window a service may receive `ratio` x the requests for it +
+`slack` further arrivals. Each desk keeps to a part of it by itself, so nothing has to be asked: `ratio`
+counts for the requests it sent on itself, and the slack is cut evenly. Only PART of either is used; the
+rest is left to desks that restart, to counts of desks that differ, and to windows that are laid otherwise
+than ours.
 
 All times are seconds of a steady clock.
 """
@@ -44,9 +45,9 @@
 class RetryBudget:
     """What one desk may send beyond the first of each request, by service.
 
-    `ratio`, `window` (seconds) and `slack` are the rule's figures. `cautious` is the number of desks reckoned with
-    until one is told. With `earlier`, a process of this machine may have run just before and spent its part of the
-    slack; that part then comes back only after a window.
+    `ratio`, `window` (seconds) and `slack` are the rule's figures. `cautious` is the number of desks
+    reckoned with until one is told. With `earlier`, a process of this machine may have run just before and
+    spent its part of the slack; that part then comes back only after a window.
     """
 
     def __init__(
--- a/folio/lending/slices.py
+++ b/folio/lending/slices.py
@@ -7,12 +7,12 @@
 
 - A lease ends by the desk's own steady clock, counted from when the desk SENT the report that was answered;
   the giver counts from when it answered, and adds a margin for clocks that run unevenly.
-- A raise is given only from what is free. After a lowering the old share counts as in use until the desk names
-  the new lease in a report, or until the old lease has ended.
-- A new giver knows nothing. First it asks each desk to refuse the giver before it (the lease it answers with
-  repeats what the desk holds and ends when that would have ended). What a desk still holds under the new fence
-  is taken over as it is. What nobody has named may still be in use; it is free once all known desks have been
-  taken over, or when the longest lease of the giver before must have ended.
+- A raise is given only from what is free. After a lowering the old share counts as in use until the desk
+  names the new lease in a report, or until the old lease has ended.
+- A new giver knows nothing. First it has each desk obey its fence, and so refuse the giver before it; the
+  desk keeps what it holds. What it then reports is taken over as it is. What nobody has named may still be
+  in use; it is free once all known desks have been taken over, or when the longest lease of the giver
+  before must have ended.
 
 All times are seconds of a steady clock.
 """
@@ -82,9 +82,9 @@
 class Lender:
     """Gives the slices of one shard of tenants, as long as the duty holds under `fence`.
 
-    `known` names the desks that may hold leases of an earlier giver (empty: none was ever given; None: not known,
-    so that the time alone counts). `expect` is the number of desks there are as far as sessions tell. A Lender is
-    made anew for each fence, and must not be asked once the duty is lost.
+    `known` names the desks that may hold leases of an earlier giver (empty: none was ever given; None: not
+    known, so that the time alone counts). `expect` is the number of desks there are as far as sessions
+    tell. A Lender is made anew for each fence, and must not be asked once the duty is lost.
     """
 
     def __init__(
@@ -103,14 +103,15 @@
         self._claimed: dict[str, int] = {}  # sum of what was taken over by tenant, while sealed
         self._asked: dict[str, float] = {}
         self._next_sweep = now
-        self._epoch = 0  # one count for all desks, so that one that was forgotten and returns is not given old ones
+        self._epoch = 0  # one count for all desks: one forgotten that returns must not get old ones
 
     def report(self, desk: str, asks: dict[str, float], held: Held, now: float) -> Lease | None:
-        """Takes a desk's report (`asks`: requests a second by tenant, refused ones included, 0 for the silent).
+        """Takes a desk's report (`asks`: requests a second by tenant, refused ones included, 0 for the
+        silent).
 
         Only tenants that some desk lists are lent, so a desk lists all tenants its configuration limits.
-        Returns the lease to answer with, or None if the report is late, of an ended process, or if the desk has
-        obeyed a higher fence: this giver's time is over then.
+        Returns the lease to answer with, or None if the report is late, of an ended process, or if the desk
+        has obeyed a higher fence: this giver's time is over then.
         """
         if held.fence > self.fence:
             return None
@@ -275,8 +276,8 @@
     def take(self, lease: Lease, now: float) -> bool:
         """Takes a lease unless it is late or of an earlier giver.
 
-        Returns True if a share went down by a fiftieth of the quota or more, or the giver is new: others wait for
-        that to be confirmed, so the next report is best sent at once.
+        Returns True if a share went down by a fiftieth of the quota or more, or the giver is new: others
+        wait for that to be confirmed, so the next report is best sent at once.
         """
         if lease.life != self.life or lease.fence < self.fence:
             return False
@@ -312,9 +313,10 @@
 def floor_rate(rate: float, burst: float, window: float, excess: float, slack: float, desks: int) -> float:
     """Requests in any span of `window` seconds that a desk without a lease may pass for a tenant.
 
-    Half of what the rule allows above the quota, cut evenly over `desks`, so that all of them on the floor together
-    leave the rest of it to uneven buckets. `rate` is in requests a second; 0 means no limit (infinity is returned).
-    A token bucket that keeps to it holds at most half of this and is filled with the other half in one window.
+    Half of what the rule allows above the quota, cut evenly over `desks`, so that all of them on the floor
+    together leave the rest of it to uneven buckets. `rate` is in requests a second; 0 means no limit
+    (infinity is returned). A token bucket that keeps to it holds at most half of this and is filled with
+    the other half in one window.
     """
     if rate <= 0:
         return float("inf")
--- a/folio/rolls/duties.py
+++ b/folio/rolls/duties.py
@@ -1,17 +1,20 @@
 """Duties, cut by key over the live registries; a key changes hands under a fence.
 
-The wanted holder of a key is found by highest random weight over the live registries, so one that comes or goes
-moves only the keys it had or gets. Being wanted gives no right: a holder needs a lease from a majority of the voters,
-renewed each half second. A voter grants a key to one holder at a time, by its own steady clock; the holder counts
-from when it sent the request, so its lease has ended when a voter grants to the next.
-
-Each hand has a higher fence than the one before. A candidate first gets grants of a majority, which tell the highest
-fence they have seen; it takes a higher one, and holds the key when a majority has granted and noted that. Receivers
-of what a holder sends refuse a lower fence than they have seen, so that a late holder changes nothing.
-
-Voters keep nothing on disk. One that has just started, or has just become a voter, grants nothing for a term. As a
-fence may have been forgotten by then, its low bits are random, so that no two hands have the same one, and who meets
-a higher fence than the holder's reports it with `saw`: the holder then takes a higher one still.
+The wanted holder of a key is found by highest random weight over the live registries, so one that comes or
+goes moves only the keys it had or gets. Being wanted gives no right: a holder needs a lease from a majority
+of the voters, renewed each half second. A voter grants a key to one holder at a time, by its own steady
+clock; the holder counts from when it sent the request, so its lease has ended when a voter grants to the
+next.
+
+Each hand has a higher fence than the one before. A candidate first gets grants of a majority, which tell
+the highest fence they have seen; it takes a higher one, and holds the key when a majority has granted and
+noted that. Receivers of what a holder sends refuse a lower fence than they have seen, so that a late holder
+changes nothing.
+
+Voters keep nothing on disk. One that has just started, or has just become a voter, grants nothing for a
+term. As a fence may have been forgotten by then, its low bits are random, so that no two hands have the
+same one, and who meets a higher fence than the holder's reports it with `saw`: the holder then takes a
+higher one still.
 
 All times are seconds of a steady clock.
 """
@@ -117,8 +120,8 @@
 class Duties:
     """The duties of one registry, as a voter, a candidate and a holder.
 
-    `me` is the address others know this registry by. Messages that handle, tick and release return are to be sent to
-    the address beside them.
+    `me` is the address others know this registry by. Messages that handle, tick and release return are to
+    be sent to the address beside them.
     """
 
     def __init__(
@@ -245,8 +248,7 @@
             return self._seek(key, hand, now)
         end = self._end(hand, hand.fence) if hand.fence else float("-inf")
         if now >= end:
-            # No longer held, or not yet: a round gets a short time, as two that each keep a few grants block each
-            # other.
+            # No longer held, or not yet. A round gets a short time, as two half-won ones block each other.
             if not hand.held and now < hand.since + self.terms.answer:
                 return []
             return self._give_up(key, hand, now)
--- a/tests/folio/test_budget.py
+++ b/tests/folio/test_budget.py
@@ -35,7 +35,7 @@
         self.assertEqual(sum(budget.spend("c", 62.0) for _ in range(50)), 35)
 
     def test_the_rule_holds_in_every_window_summed_over_desks(self):
-        """Uneven load, bursts, desks that restart: spans of the rule's length slide over all that was sent."""
+        """Uneven load, bursts, desks that restart: the rule's window slides over all that was sent."""
         ratio, window, slack, desks = 0.2, 10.0, 64, 12
         for seed in range(4):
             rng = Random(seed)
--- a/tests/folio/test_duties.py
+++ b/tests/folio/test_duties.py
@@ -10,7 +10,7 @@
 
 
 class World:
-    """Registries over a network with delays; clocks may differ in speed. One column of a timeline is one registry.
+    """Registries over a network with delays; one column of a timeline is one registry.
 
     Words in a timeline: `up`, `die` (power goes), `cut` and `join` (its links), `stop` (releases, then dies),
     `freeze` and `thaw`, `holds`, `not`, `.` (nothing).
--- a/tests/folio/test_slices.py
+++ b/tests/folio/test_slices.py
@@ -12,9 +12,9 @@
 class World:
     """Desks and a giver over links that hold messages back while cut. One column of a timeline is one desk.
 
-    Words in a timeline: `up`, `die`, `restart`, `cut`, `join`, a number (it asks so many a second of `large`),
-    `=0.25` (its share, give or take 0.02), `none` (it has no lease), `.` (nothing). In the giver's column:
-    `take` (a new giver that knows the desks), `blind` (one that does not), `gone`.
+    Words in a timeline: `up`, `die`, `restart`, `cut`, `join`, a number (it asks so many a second of
+    `large`), `=0.25` (its share, give or take 0.02), `none` (it has no lease), `.` (nothing). In the
+    giver's column: `take` (a new giver that knows the desks), `blind` (one that does not), `gone`.
     """
 
     def __init__(self, desks, seed=1, drift=0.0, late=0.0):
@@ -213,7 +213,7 @@
 
 class RandomTest(unittest.TestCase):
     def test_the_sum_of_shares_never_exceeds_the_quota(self):
-        """Cut-offs, late and lost messages, restarts, new givers, 1% drift; World.check looks at each step."""
+        """Cuts, late and lost messages, restarts, new givers, 1% drift; World.check looks at each step."""
         most = 0.0
         for seed in range(24):
             world = World(10, seed=seed, drift=0.01, late=(0.01, 0.1)[seed % 2])
@@ -313,6 +313,15 @@
         later = terms.term + terms.margin + 0.5
         self.assertIsNotNone(lender.report("one", {"t": 1.0}, low.to_report(later), later))
 
+    def test_a_share_is_given_on_only_after_the_slowest_clock_has_ended_it(self):
+        lender, slow, fast = Lender(1, set(), 1, 0.0), 0.99, 1.01
+        holdings = Holdings(1)
+        holdings.take(lender.report("one", {"t": 1.0}, holdings.to_report(0.0), 0.0), 0.0)
+        end = LendingTerms().term / slow
+        self.assertIsNotNone(holdings.share("t", (end - 0.01) * slow))
+        newcomer = lender.report("two", {"t": 1.0}, Holdings(1).to_report(0.0), end * fast)
+        self.assertEqual(newcomer.shares, {})
+
     def test_all_desks_on_the_floor_use_less_than_the_slack(self):
         for desks in (1, 14, 96):
             each = floor_rate(81, 81, 5, 0.1, 20, desks)
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -3,9 +3,8 @@
 import pytest
 from conftest import READY, SAFE, UNSAFE, World, kinds, make_settings
 
-from fennelpoint import choice
+from fennelpoint import choice, window
 from fennelpoint import interface as api
-from fennelpoint import window
 from fennelpoint.state import Try
 
 
--- a/tests/test_bans.py
+++ b/tests/test_bans.py
@@ -50,7 +50,8 @@
     world.give(api.Withdraw("a"))
     world.give(api.Restore("a"))
     world.roster(api.BackendEntry("a", READY, started_at=world.now - 50.0), kind=api.RosterKind.CHANGES)
-    assert world.control.choice.cold_share(world.control.fleet.known["a"], world.now) == world.settings.cold_share
+    share = world.control.choice.cold_share(world.control.fleet.known["a"], world.now)
+    assert share == world.settings.cold_share
 
 
 def test_start_that_the_list_told_of_meanwhile_is_where_the_ramp_begins(world):
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -3,9 +3,8 @@
 import pytest
 from conftest import CAPPED, HARD, READY, SOFT, World, kinds, make_settings
 
-from fennelpoint import choice
+from fennelpoint import choice, quota, window
 from fennelpoint import interface as api
-from fennelpoint import quota, window
 from fennelpoint.state import Try
 
 INGRESSES = 200
