--- a/folio/circulation/desk.py
+++ b/folio/circulation/desk.py
@@ -25,6 +25,8 @@
 IDLE_MOST = 4.0         # s that a connection to a server is kept unused: the servers close theirs some time
 UNSAFE_IDLE = (0.03, 1.0)   # s that a connection for what may run once only has stood unused: young enough not
                         # to have been forgotten, old enough for a second answer to have shown
+EXTRA_PART, EXTRA_MOST = 0.6, 4.0   # of what the rule leaves above the quota, cut evenly: requests that each bucket
+                        # may hold beyond its slice of the burst; and no more than this
 NOT_RUN = frozenset((429, 503, 408, 421))   # a promise: it has not run and never will
 REASON = b"x-refused-by"
 
@@ -111,12 +113,13 @@
         bounds, desks = self.boot.bounds, max(self.members, 1) if self.members else 96
         self.budget.desks(desks, now)
         window = seconds(bounds.quota_window, "quota_window")
-        self.admission.extra = 0.3 * bounds.quota_slack / desks
         for name, tenant in self.table.tenants.items() if self.table else ():
             if tenant.rate > 0.0:
                 floor = floor_rate(tenant.rate, tenant.burst, window, bounds.quota_excess, bounds.quota_slack,
                                    desks) / window
-                self.admission.slice_of(name, share(name, now), now, floor)
+                spare = bounds.quota_excess * (tenant.rate * window + tenant.burst) + bounds.quota_slack
+                self.admission.slice_of(name, share(name, now), now, floor,
+                                        extra=min(EXTRA_MOST, EXTRA_PART * spare / desks))
 
     def asks(self) -> dict[str, float]:
         """Asks by tenant for the slices; tenants that ask nothing are named too."""
@@ -207,8 +210,13 @@
             fields = [each for each in answer.headers if each[0] not in HOP_BY_HOP]
             return self._finish(ticket, lambda c: c.answered(answer.status, fields, answer.body))
         self.counts[give.reason] = self.counts.get(give.reason, 0) + 1
+        fields = {}
+        if give.reason == "quota":
+            held = self.admission.held(time.monotonic())[ticket.asked.tenant]
+            fields = {"tenant": ticket.asked.tenant, "share": -1.0 if held.share is None else held.share,
+                      "rate": self.table.tenants[ticket.asked.tenant].rate}
         logs.say("refused" if give.status in NOT_RUN else "failed", id=ticket.asked.txn.decode("latin-1"),
-                 status=give.status, reason=give.reason, route=ticket.asked.route.name)
+                 status=give.status, reason=give.reason, route=ticket.asked.route.name, **fields)
         fields = [(REASON, give.reason.encode())]
         if give.retry_after > 0.0:
             fields.append((b"retry-after", b"%.3f" % give.retry_after))
--- a/folio/lending/admission.py
+++ b/folio/lending/admission.py
@@ -65,6 +65,7 @@
     share: float | None = None
     floor: float = 0.0      # requests a second without a lease
     roomy: bool = False     # all asks of the tenant fit in its quota, by the giver's last word
+    extra: float = 0.0      # requests that the bucket may hold beyond its slice
     level: float = 0.0
     filled: float = 0.0
     asked: float = 0.0      # asks, fading
@@ -80,17 +81,17 @@
             return inf
         return self.floor if self.share is None else self.terms.rate * self.share
 
-    def depth(self, extra: float) -> float:
+    def depth(self) -> float:
         """Requests that the bucket holds at most."""
         if self.share is None:
-            return min(1.0, extra) + self.floor * FLOOR_SPAN
-        deep = self.terms.burst * self.share + extra
+            return min(1.0, self.extra) + self.floor * FLOOR_SPAN
+        deep = self.terms.burst * self.share + self.extra
         return max(1.0, deep) if self.roomy else deep
 
-    def fill(self, extra: float, now: float) -> None:
+    def fill(self, now: float) -> None:
         span, self.filled = max(0.0, now - self.filled), max(now, self.filled)
         if self.limited:
-            self.level = min(self.depth(extra), self.level + self.pace() * span)
+            self.level = min(self.depth(), self.level + self.pace() * span)
         self.fill_cap(max(1.0, self.cap or 0.0), span)
 
     def ask(self, now: float) -> None:
@@ -132,21 +133,22 @@
         for name, terms in tenants.items():
             if (t := self.tenants.get(name)) is None:
                 # A bucket starts empty: what an earlier life of this ingress has sent is not known.
-                t = self.tenants[name] = Tenant(name, filled=now)
-            t.fill(self.extra, now)
+                t = self.tenants[name] = Tenant(name, filled=now, extra=self.extra)
+            t.fill(now)
             t.terms, t.worth = terms, worth_of(terms.prio) if terms.prio is not None else t.worth
-            t.fill(self.extra, now)
+            t.fill(now)
 
     def slice_of(self, tenant: str, share: float | None, now: float, floor: float = 0.0,
-                 roomy: bool = False) -> None:
+                 roomy: bool = False, extra: float | None = None) -> None:
         """This ingress's part of the quota from now on, 0 to 1; None: no lease, `floor` requests a second.
 
         `roomy` says that all asks fit in the quota: even the smallest slice then saves up one request.
         """
         t = self._tenant(tenant)
-        t.fill(self.extra, now)
+        t.fill(now)
         t.share, t.floor, t.roomy = share, floor, roomy
-        t.fill(self.extra, now)
+        t.extra = t.extra if extra is None else extra
+        t.fill(now)
 
     def admit(self, tenant: str, worth: float, now: float, again: bool = False) -> Verdict:
         """Whether a request passes now; one that does has taken its place in the quota and under the cut.
@@ -158,7 +160,7 @@
             t.ask(now)
         if t.terms.prio is None:
             t.worth = max(t.worth, worth)
-        t.fill(self.extra, now)
+        t.fill(now)
         lacks, cut = t.limited and t.level < 1.0, t.cap is not None and t.cap_level < 1.0
         if cut or (lacks and not self._drawn(t)):
             wait = self._until_one(t) if lacks else 0.0
@@ -176,21 +178,21 @@
         Else none ever would.  What it held is gone either way, so that over all ingresses as many pass as
         their slices hold together.
         """
-        if t.depth(self.extra) >= 1.0:
+        if t.depth() >= 1.0:
             return False
         held, t.level = t.level, 0.0
         return self.random.random() < held
 
     def _until_one(self, t: Tenant) -> float:
         """Seconds until the bucket holds one request, or all that it can hold."""
-        return max(1e-3, min(1.0, t.depth(self.extra)) - t.level) / max(t.pace(), 1e-3)
+        return max(1e-3, min(1.0, t.depth()) - t.level) / max(t.pace(), 1e-3)
 
     def give_back(self, tenant: str, now: float) -> None:
         """A request that passed came to no server and never will: its place in the quota is free again."""
         t = self._tenant(tenant)
-        t.fill(self.extra, now)
+        t.fill(now)
         if t.limited:
-            t.level = min(t.depth(self.extra), t.level + 1.0)
+            t.level = min(t.depth(), t.level + 1.0)
 
     def sent(self, tenant: str, work: float, now: float, first: bool = True) -> None:
         """An attempt was sent, with about `work` s for its server; only the `first` counts as a request."""
@@ -206,7 +208,7 @@
             return
         self.period_at = now
         for t in list(self.regulator.active.values()):
-            t.fill(self.extra, now)     # what the cut let through until now goes by the old cut
+            t.fill(now)     # what the cut let through until now goes by the old cut
         self.regulator.regulate(span)
         self.regulator.rest(now - FORGET)
 
@@ -218,7 +220,7 @@
     def held(self, now: float) -> dict[str, Held]:
         """What each tenant holds here."""
         for t in self.tenants.values():
-            t.fill(self.extra, now)
+            t.fill(now)
         return {name: Held(t.share, t.level, t.cap) for name, t in self.tenants.items() if name != PUBLIC}
 
     def _tenant(self, name: str) -> Tenant:
--- a/folio/logs.py
+++ b/folio/logs.py
@@ -14,7 +14,7 @@
 def begin(role: str, host: str) -> None:
     """Write from now on, each line with the role and the machine."""
     handler = picologging.StreamHandler()
-    handler.setFormatter(picologging.Formatter(f"t=%(created).3f level=%(levelname)s role={role} host={host} %(message)s"))
+    handler.setFormatter(picologging.Formatter(f"level=%(levelname)s role={role} host={host} %(message)s"))
     _log.addHandler(handler)
     _log.setLevel(picologging.INFO)
 
@@ -34,7 +34,7 @@
         seen = _seen[event] = [now, 0]
     seen[1] += 1
     if seen[1] <= _SAMPLE:
-        _log.info(" ".join([f"event={event}", *(f"{k}={_text(v)}" for k, v in fields.items())]))
+        _log.info(" ".join([f"t={time.time():.3f} event={event}", *(f"{k}={_text(v)}" for k, v in fields.items())]))
 
 
 def failure(event: str) -> None:
