--- a/folio/charter/check.py
+++ b/folio/charter/check.py
@@ -16,7 +16,23 @@
 
 import msgspec
 
-from folio.charter.messages import Change, Entry, Message, Nothing, Voter, Voters, decode, encode
+from folio.charter.messages import (
+    Accept,
+    Accepted,
+    Change,
+    Chosen,
+    Decided,
+    Entry,
+    Message,
+    Peek,
+    Prepare,
+    Promise,
+    Refuse,
+    Voter,
+    Voters,
+    decode,
+    encode,
+)
 from folio.charter.node import Node, Timing, _Pending, _Round
 from folio.charter.records import (
     Answer,
@@ -32,7 +48,6 @@
     Saved,
     Send,
     Taken,
-    Unclear,
     Vote,
     Voted,
 )
@@ -578,7 +593,8 @@
                 case Send(addr=addr, message=message) if addr == self._ADDRS[at]:
                     effects += node.handle(addr, message, node._clock)
                 case Send(addr=addr, message=message):
-                    flying.append((at, self._ADDRS.index(addr), encode(message)))
+                    if not isinstance(message, Peek):
+                        flying.append((at, self._ADDRS.index(addr), encode(message)))
                 case Persist():
                     disk.write(effect.records)
                     effects += effect.then
@@ -588,7 +604,7 @@
             _put(was.nodes, at, node),
             _put(was.disks, at, disk),
             new.get("clocks", was.clocks),
-            tuple(sorted(flying)),
+            tuple(sorted(each for each in flying if each[1] != at or not _moot(node, each[2]))),
             new.get("left", was.left),
             frozenset(taken),
         )
@@ -626,6 +642,8 @@
             if fault:
                 walk.violations.append(fault)
                 break
+            if all(node.last for node in moment.nodes):
+                continue
             for after in self._next(moment):
                 key = hash(after.key())
                 if key not in seen:
@@ -661,6 +679,19 @@
     return _Walker(node_class, limit).go((losses, timers, crashes))
 
 
+def _moot(node: Node, data: bytes) -> bool:
+    """Whether `node` would pass over this message now and ever after, so that its place is no matter."""
+    message, current = decode(data), node._round
+    if isinstance(message, Decided | Chosen):
+        return node.last >= message.slot
+    if isinstance(message, Refuse):
+        return node.last >= message.slot
+    if isinstance(message, Promise | Accepted):
+        kind = Prepare if isinstance(message, Promise) else Accept
+        return current is None or current.ballot != message.ballot or not isinstance(current.message, kind)
+    return False
+
+
 def _put(items: tuple, at: int, item: Any) -> tuple:
     return (*items[:at], item, *items[at + 1 :])
 
--- a/folio/charter/node.py
+++ b/folio/charter/node.py
@@ -91,7 +91,11 @@
 
 
 class Timing(msgspec.Struct, frozen=True):
-    """Waits in seconds, and how much of the log is kept."""
+    """Waits in seconds, and how much of the log is kept.
+
+    With `poll_all` the voters hear each other every `poll` seconds; without it the owner has to tell
+    `Node.heard` of every voter more often than `replace_after`.
+    """
 
     resend: float = 0.12
     resend_cap: float = 0.5
@@ -99,6 +103,7 @@
     backoff_cap: float = 0.4
     patience: float = 4.0
     poll: float = 0.5
+    poll_all: bool = True
     orphan: float = 0.25
     knock: float = 0.3
     replace_after: float = 1.2
@@ -706,7 +711,8 @@
         at_start = self._poll_due == 0.0
         self._poll_due = self._clock + self.timing.poll * self._jitter()
         if others:
-            asked = others if at_start else [self._rng.choice(others)]
+            everyone = at_start or (self.timing.poll_all and self.me in self.voters)
+            asked = others if everyone else [self._rng.choice(others)]
             out += [Send(addr, Behind(self.last + 1)) for addr in asked]
 
     def _ask_for_seat(self, out: list[Effect]) -> None:
--- a/folio/circulation/clerk.py
+++ b/folio/circulation/clerk.py
@@ -104,6 +104,14 @@
     reason: str = ""
 
 
+@dataclass(slots=True)
+class Draw:
+    """Ask the giver's reserve for one request of the tenant, then call `arrive` again with the answer."""
+
+    id: int
+    tenant: str
+
+
 @dataclass(slots=True)
 class Wake:
     """Call `late` for this request at this time."""
@@ -121,6 +129,7 @@
         self.services: dict[str, list[Server]] = {}
         self.kinds: dict[tuple[str, str], Kind] = {}
         self.tries: dict[int, Try] = {}
+        self.dry: dict[str, float] = {}     # tenants whose reserve is empty, by when it is worth asking again
 
     # What the registries tell
 
@@ -154,12 +163,18 @@
 
     # Requests
 
-    def arrive(self, number: int, route: Route, tenant: str, left: float, now: float) -> list:
-        """A request has come whole."""
-        verdict = self.admission.admit(tenant, 1.0 / (1.0 + route.prio), now)
+    def arrive(self, number: int, route: Route, tenant: str, left: float, now: float,
+               drawn: float | None = None) -> list:
+        """A request has come whole.  `drawn`: the reserve has been asked, and this is the wait it told of."""
+        verdict = self.admission.admit(tenant, 1.0 / (1.0 + route.prio), now, again=drawn is not None)
         if not verdict.ok:
+            if verdict.reason == "quota" and drawn is None and now >= self.dry.get(tenant, 0.0):
+                return [Draw(number, tenant)]
+            if drawn is not None:
+                self.dry[tenant] = now + drawn
             status = 429 if verdict.reason == "quota" else 503
-            return [Give(number, status, max(RETURN_LEAST, verdict.wait), reason=verdict.reason)]
+            wait = verdict.wait if drawn is None else min(verdict.wait, drawn)
+            return [Give(number, status, max(RETURN_LEAST, wait), reason=verdict.reason)]
         svc = route.pick(self.rng.random())
         t = self.tries[number] = Try(number, route, tenant, now, now + left, svc)
         out = self._send(t, now)
--- a/folio/circulation/daemon.py
+++ b/folio/circulation/daemon.py
@@ -42,6 +42,7 @@
         self.server = Server(loop, self.desk, sockets - upstream, self.reader, Bounds())
         self.follower = Follower(loop, boot, rng, self._on_table, self.desk.follow,
                                  self.desk.clerk.silent, self.desk.asks)
+        self.desk.reserve = self.follower.draw
         self.listeners: list[asyncio.Server] = []
         self.stopping_since: float | None = None
         self.period_at = self.sweep_at = 0.0
--- a/folio/circulation/desk.py
+++ b/folio/circulation/desk.py
@@ -14,7 +14,7 @@
 from folio.accession.register import Record
 from folio.boot import Boot, seconds
 from folio.catalogue.routing import Table
-from folio.circulation.clerk import Clerk, Give, Send, Wake
+from folio.circulation.clerk import Clerk, Draw, Give, Send, Wake
 from folio.circulation.dialect import ServerDialect, load_of
 from folio.circulation.reader import Asked
 from folio.lending.admission import Admission
@@ -83,7 +83,7 @@
         self.tickets: dict[int, Ticket] = {}
         self.open_ids: set[bytes] = set()
         self.last_id = 0
-        self.ready = False
+        self.reserve = lambda tenant, count, done: done(0, 0.1)   # how the giver's reserve is asked
         self.members = 0
         self.counts: dict[str, int] = {}
         self.floors: dict[str, float] = {}
@@ -168,9 +168,26 @@
                 self._send(action)
             elif isinstance(action, Give):
                 self._give(action)
+            elif isinstance(action, Draw):
+                self._draw(action)
             elif isinstance(action, Wake):
                 self.loop.call_at(self.loop.time() + action.at - time.monotonic(), self._wake, action.id)
 
+    def _draw(self, draw: Draw) -> None:
+        def done(given: int, wait: float) -> None:
+            ticket = self.tickets.get(draw.id)
+            now = time.monotonic()
+            if given and draw.tenant in self.admission.tenants:
+                self.admission.lend(draw.tenant, given, now)
+            if ticket is None or ticket.client is None:
+                return
+            if draw.tenant not in self.admission.tenants:
+                return self._finish(ticket, lambda c: c.answered(401, [], b"the key is not known\n"))
+            self._do(self.clerk.arrive(ticket.id, ticket.asked.route, draw.tenant, ticket.deadline - now, now,
+                                       0.0 if given else wait))
+
+        self.reserve(draw.tenant, 1, done)
+
     def _wake(self, request: int) -> None:
         if request in self.tickets:
             self._do(self.clerk.late(request, time.monotonic()))
--- a/folio/circulation/follower.py
+++ b/folio/circulation/follower.py
@@ -19,6 +19,7 @@
 REPORT = 0.5        # s between reports
 SILENT = 1.1        # s without a pulse after which another registry is tried
 ALONE = 0.8         # s that a registry may say it has no majority before another one is tried
+DRAW_TIMEOUT = 0.06     # s for an answer from the reserve: a request waits for it
 CONNECT = 0.5       # s for a connection to come up
 
 
@@ -38,6 +39,8 @@
         self.register, self.place = "", 0
         self.known: dict[str, float] = {}   # registries, by when they may be tried again
         self.holdings: dict[str, Holdings] = {}
+        self.draws: dict[int, Callable[[int, float], None]] = {}
+        self.last_draw = 0
         self.members = 0
         self.link: Link | None = None
         self.at = ""            # the registry that the session is with
@@ -145,6 +148,9 @@
             holdings = self._holdings(message.key)
             if holdings.take(message.lease, now):
                 self._send_report(now)
+        elif kind is m.Drawn:
+            if (done := self.draws.pop(message.number, None)) is not None:
+                done(message.given, message.wait)
         elif kind is m.Welcome:
             self.learn(message.registries)
 
@@ -189,6 +195,20 @@
         holdings = self.holdings.get(duty_of(tenant))
         return None if holdings is None else holdings.share(tenant, now)
 
+    def draw(self, tenant: str, count: int, done: Callable[[int, float], None]) -> None:
+        """Ask for requests of a tenant beyond our slice; `done` gets how many, and the wait for one more."""
+        if self.link is None:
+            return done(0, DRAW_TIMEOUT)
+        self.last_draw += 1
+        number = self.last_draw
+        self.draws[number] = done
+        self.link.send(m.Draw(self.boot.hostname, tenant, count, number))
+        self.loop.call_later(DRAW_TIMEOUT, self._undrawn, number)
+
+    def _undrawn(self, number: int) -> None:
+        if (done := self.draws.pop(number, None)) is not None:
+            done(0, DRAW_TIMEOUT)
+
     def _report(self) -> None:
         self._send_report(time.monotonic())
         self.loop.call_later(REPORT * self.rng.uniform(0.9, 1.1), self._report)
--- a/folio/lending/admission.py
+++ b/folio/lending/admission.py
@@ -91,7 +91,7 @@
     def fill(self, now: float) -> None:
         span, self.filled = max(0.0, now - self.filled), max(now, self.filled)
         if self.limited:
-            self.level = min(self.depth(), self.level + self.pace() * span)
+            self.level = max(self.level, min(self.depth(), self.level + self.pace() * span))
         self.fill_cap(max(1.0, self.cap or 0.0), span)
 
     def ask(self, now: float) -> None:
@@ -194,6 +194,12 @@
         if t.limited:
             t.level = min(t.depth(), t.level + 1.0)
 
+    def lend(self, tenant: str, count: int, now: float) -> None:
+        """So many requests may pass beyond the slice: the giver has handed them out."""
+        t = self._tenant(tenant)
+        t.fill(now)
+        t.level += count
+
     def sent(self, tenant: str, work: float, now: float, first: bool = True) -> None:
         """An attempt was sent, with about `work` s for its server; only the `first` counts as a request."""
         self.regulator.sent(self._tenant(tenant), float(first), work)
--- a/folio/lending/slices.py
+++ b/folio/lending/slices.py
@@ -52,6 +52,7 @@
 
     term: float = 8.0  # seconds a lease holds
     margin: float = 0.4  # seconds the giver waits on top, for clocks that differ in speed by up to 2%
+    reserve: float = 0.0  # the fraction of a quota that is not lent but drawn from, a request at a time
     even: float = 0.2  # the fraction of a quota that is dealt out evenly, whatever is asked
     keep: float = 1.5  # seconds after a take-over in which no share is lowered, as not all asks are known yet
 
@@ -234,9 +235,11 @@
         terms, used, asked = self.terms, self._used, self._asked
         heard = len(self._desks)
         desks = max(self.expect, heard)
-        even = 1.0 / desks
+        lent = 1.0 - terms.reserve
+        whole = int(PARTS * lent)
+        even = lent / desks
         # Desks not heard yet are taken to ask like the others, or the first one would be given everything.
-        scale = (1.0 - terms.even) * heard / desks
+        scale = lent * (1.0 - terms.even) * heard / desks
         keep = now < self._keep_until
         current = known.lent[-1].shares if known.lent else {}
         shares: dict[str, int] = {}
@@ -249,9 +252,9 @@
             if keep:
                 share = max(share, current.get(tenant, 0))
             bound = known.bound.get(tenant, 0)
-            free = PARTS - used.get(tenant, 0) + bound
+            free = whole - used.get(tenant, 0) + bound
             if self._sealed:
-                free -= max(0, PARTS - self._claimed.get(tenant, 0))
+                free -= max(0, whole - self._claimed.get(tenant, 0))
             share = max(0, min(share, free))
             if share:
                 shares[tenant] = share
@@ -263,6 +266,31 @@
         return Lease(known.life, known.sent, self.fence, self._epoch, terms.term, shares)
 
 
+class Reserve:
+    """The part of each quota that the giver keeps and hands out by the request, to desks whose slice is used up.
+
+    It begins empty with each giver, so that what an earlier one has handed out is reckoned with.
+    """
+
+    def __init__(self, now: float, part: float) -> None:
+        self._part = part
+        self._since = now
+        self._levels: dict[str, tuple[float, float]] = {}  # tenant -> requests there are, when
+
+    def draw(self, tenant: str, rate: float, burst: float, count: int, now: float) -> tuple[int, float]:
+        """How many of `count` requests may pass, and the seconds until there is one more.
+
+        `rate` and `burst` are the tenant's whole quota, in requests a second and requests.
+        """
+        rate, depth = rate * self._part, max(1.0, burst * self._part)
+        level, at = self._levels.get(tenant, (0.0, self._since))
+        level = min(depth, level + rate * max(0.0, now - at))
+        given = min(count, int(level + 1e-9))
+        level -= given
+        self._levels[tenant] = (level, now)
+        return given, max(0.0, 1.0 - level) / max(rate, 1e-6)
+
+
 class Holdings:
     """What one desk holds of one shard. `life` must grow with each start of the process."""
 
--- a/folio/registry/daemon.py
+++ b/folio/registry/daemon.py
@@ -27,7 +27,7 @@
 from folio.charter.node import Node
 from folio.charter.records import Answer, Apply, Durable, Fresh, Persist, Send, Taken
 from folio.charter.voters import settle
-from folio.lending.slices import Lender, LendingTerms
+from folio.lending.slices import Lender, LendingTerms, Reserve
 from folio.lending.shards import KEYS, duty_of
 from folio.registry.disk import Disk
 from folio.registry.machine import Again, Machine
@@ -78,6 +78,7 @@
         self.detector = Detector(PING)
         self.duties = duties.Duties(self.me, self.rng, now, KEYS)
         self.lenders: dict[str, Lender] = {}
+        self.reserves: dict[str, Reserve] = {}
         self.known_desks: set[str] = set()
         self.dialers: dict[str, Dialer] = {}
         self.heard_at: dict[str, float] = {}    # registries, by when they were last heard
@@ -306,6 +307,11 @@
         elif kind is m.Lent:
             if (session := self.sessions.get(message.desk)) is not None:
                 session.link.send(m.Slice(message.key, message.lease))
+        elif kind is m.Draw:
+            self._post(addr, self._drawn(message, now))
+        elif kind is m.Drawn:
+            if (session := self.sessions.get(message.desk)) is not None:
+                session.link.send(message)
 
     def _on_ping(self, addr: str, ping: m.Ping, now: float) -> None:
         self.echoes[addr] = ping.sent
@@ -506,6 +512,12 @@
             for key, held in message.held.items():
                 if key in KEYS:
                     self._lend(session, key, message.asks, held, now)
+        elif isinstance(message, m.Draw):
+            holder = self.duties.holder_of(duty_of(message.tenant), now)
+            if holder is None or holder == self.me:
+                session.link.send(self._drawn(message, now))
+            else:
+                self._post(holder, message)
         elif isinstance(message, m.Bye):
             self.roll.closed(session.desk, str(session.life), now, leaving=True)
 
@@ -560,9 +572,21 @@
         if lender is None or lender.fence != fence:
             known = self.known_desks | set(self.roll.members(now))
             lender = self.lenders[key] = Lender(fence, known, self.roll.count(now), now, _TERMS)
+            self.reserves[key] = Reserve(now, _TERMS.reserve)
             logs.say("duty_taken", key=key, fence=fence, known=len(known))
         return lender.report(desk, asks, held, now)
 
+    def _drawn(self, draw: m.Draw, now: float) -> m.Drawn:
+        """Hand out of the reserve, if it is ours and this registry knows the tenant."""
+        key = duty_of(draw.tenant)
+        item = self.machine.config.items.get(("tenants", draw.tenant))
+        lender = self.lenders.get(key)
+        if item is None or lender is None or self.duties.holds(key, now) != lender.fence:
+            return m.Drawn(draw.desk, draw.number, 0, 0.3)
+        given, wait = self.reserves[key].draw(draw.tenant, item.spec.rate_per_s or 0.0, item.spec.burst or 0.0,
+                                              draw.count, now)
+        return m.Drawn(draw.desk, draw.number, given, wait)
+
     def _mind_lenders(self, now: float) -> None:
         for key, lender in list(self.lenders.items()):
             if self.duties.holds(key, now) != lender.fence:
@@ -708,7 +732,7 @@
 
 _CHARTER = tuple(charter.Message.__args__)
 _DUTIES = tuple(duties.Message.__args__)
-_TERMS = LendingTerms()
+_TERMS = LendingTerms(reserve=0.35)
 _NO_HELD = m.Held(0, 0.0, 0, 0, 0.0, {})
 
 
--- a/folio/transport/messages.py
+++ b/folio/transport/messages.py
@@ -70,6 +70,24 @@
     lease: Lease
 
 
+class Draw(Struct, tag="draw"):
+    """A desk whose slice is used up asks for `count` requests of a tenant from the giver's reserve."""
+
+    desk: str
+    tenant: str
+    count: int
+    number: int
+
+
+class Drawn(Struct, tag="drawn"):
+    """The answer to Draw: how many may pass, and the seconds until one more may."""
+
+    desk: str
+    number: int
+    given: int
+    wait: float
+
+
 # Between a desk and its registry
 
 
@@ -150,7 +168,7 @@
 
 Message = (charter.Message | duties.Message | Hold | ReportHeld | DigestOffer | RangeRecords | SessionsTold
            | Hello | Ping | Rows | Heard | Ask | Lent | Open | Report | Bye | Welcome | State | Step | Servers
-           | Quiet | Pulse | Slice)
+           | Quiet | Pulse | Slice | Draw | Drawn)
 encode = msgspec.msgpack.Encoder().encode
 decode = msgspec.msgpack.Decoder(Message).decode
 
