Keep what was lent from the reserve beside the bucket, and leases through a new configuration

Cause: a bucket filled past its slice kept what it had when the slice was lowered; a new configuration took every bucket to the floor for 0.1 s. Change: lent requests have their own count; buckets are set from the leases held.

--- a/folio/charter/check.py
+++ b/folio/charter/check.py
@@ -501,6 +501,7 @@
 class Walk(msgspec.Struct):
     """How far `explore` came: the states seen, and whether they are all there are within its bounds."""
 
+    depth: int = 0
     states: int = 0
     complete: bool = False
     decided: int = 0
@@ -631,25 +632,31 @@
                 at, lambda n, t=was.clocks[at]: n.tick(t),
             )
 
-    def go(self, left: tuple[int, int, int]) -> Walk:
+    def go(self, depth: int, left: tuple[int, int, int]) -> Walk:
         walk, start = self.walk, self.start(left)
-        open_states, seen = [start], {hash(start.key())}
-        while open_states and walk.states < self.limit:
-            moment = open_states.pop()
-            walk.states += 1
-            walk.decided += bool(moment.taken)
-            fault = self._fault(moment)
-            if fault:
-                walk.violations.append(fault)
-                break
-            if all(node.last for node in moment.nodes):
-                continue
-            for after in self._next(moment):
-                key = hash(after.key())
-                if key not in seen:
-                    seen.add(key)
-                    open_states.append(after)
-        walk.complete = not open_states and not walk.violations
+        layer, seen = [start], {hash(start.key())}
+        while layer and walk.depth <= depth:
+            after_layer = []
+            for moment in layer:
+                walk.states += 1
+                walk.decided += bool(moment.taken)
+                fault = self._fault(moment)
+                if fault:
+                    walk.violations.append(f"after {walk.depth} events: {fault}")
+                    return walk
+                if walk.states >= self.limit:
+                    return walk
+                # Once all know the entry of the slot, nothing more can happen to it.
+                if walk.depth == depth or all(node.last for node in moment.nodes):
+                    continue
+                for after in self._next(moment):
+                    key = hash(after.key())
+                    if key not in seen:
+                        seen.add(key)
+                        after_layer.append(after)
+            layer = after_layer
+            walk.depth += 1
+        walk.complete = True
         return walk
 
     def _fault(self, moment: _Moment) -> str | None:
@@ -664,19 +671,21 @@
 
 
 def explore(
-    limit: int = 20000,
+    depth: int = 40,
     losses: int = 0,
     timers: int = 1,
     crashes: int = 0,
+    limit: int = 1000000,
     node_class: type[Node] = Node,
 ) -> Walk:
-    """Walk through the orders of events of two changes that race on one version among three voters.
+    """Walk through all orders of the first `depth` events of two changes that race on one version among
+    three voters.
 
-    At most `limit` states are looked at, with at most so many messages lost, waits run out and machines
-    crashed on any one way. A message may be arbitrarily late. A write that is lost with its machine is
-    the same as the loss of the message that asked for it.
+    On any one way, at most so many messages are lost, waits run out and machines crash; a message may be
+    arbitrarily late. A write that is lost with its machine is the same as the loss of the message that
+    asked for it. Gives up after `limit` states.
     """
-    return _Walker(node_class, limit).go((losses, timers, crashes))
+    return _Walker(node_class, limit).go(depth, (losses, timers, crashes))
 
 
 def _moot(node: Node, data: bytes) -> bool:
--- a/folio/circulation/daemon.py
+++ b/folio/circulation/daemon.py
@@ -42,7 +42,7 @@
         self.server = Server(loop, self.desk, sockets - upstream, self.reader, Bounds())
         self.follower = Follower(loop, boot, rng, self._on_table, self.desk.follow,
                                  self.desk.clerk.silent, self.desk.asks)
-        self.desk.reserve = self.follower.draw
+        self.desk.reserve, self.desk.share = self.follower.draw, self.follower.share
         self.listeners: list[asyncio.Server] = []
         self.stopping_since: float | None = None
         self.period_at = self.sweep_at = 0.0
@@ -76,7 +76,7 @@
         now = time.monotonic()
         try:
             self.desk.members = self.follower.members
-            self.desk.slices(now, self.follower.share)
+            self.desk.slices(now)
             if now >= self.period_at:
                 self.period_at = now + PERIOD
                 self.desk.admission.period(now)
--- a/folio/circulation/desk.py
+++ b/folio/circulation/desk.py
@@ -84,6 +84,7 @@
         self.open_ids: set[bytes] = set()
         self.last_id = 0
         self.reserve = lambda tenant, count, done: done(0, 0.1)   # how the giver's reserve is asked
+        self.share = lambda tenant, now: None   # the part of a tenant's quota that is lent to us
         self.members = 0
         self.counts: dict[str, int] = {}
         self.floors: dict[str, float] = {}
@@ -106,9 +107,9 @@
         now = time.monotonic()
         self.table = table
         self.admission.configure(table.tenants, now)
-        self.slices(now, lambda tenant, at: None)
+        self.slices(now)
 
-    def slices(self, now: float, share) -> None:
+    def slices(self, now: float) -> None:
         """What each tenant's bucket here is filled by, from the leases."""
         bounds, desks = self.boot.bounds, max(self.members, 1) if self.members else 96
         self.budget.desks(desks, now)
@@ -118,7 +119,7 @@
                 floor = floor_rate(tenant.rate, tenant.burst, window, bounds.quota_excess, bounds.quota_slack,
                                    desks) / window
                 spare = bounds.quota_excess * (tenant.rate * window + tenant.burst) + bounds.quota_slack
-                self.admission.slice_of(name, share(name, now), now, floor,
+                self.admission.slice_of(name, self.share(name, now), now, floor,
                                         extra=min(EXTRA_MOST, EXTRA_PART * spare / desks))
 
     def asks(self) -> dict[str, float]:
--- a/folio/lending/admission.py
+++ b/folio/lending/admission.py
@@ -67,6 +67,7 @@
     roomy: bool = False     # all asks of the tenant fit in its quota, by the giver's last word
     extra: float = 0.0      # requests that the bucket may hold beyond its slice
     level: float = 0.0
+    lent: float = 0.0       # requests that may pass beyond the slice, handed out one by one
     filled: float = 0.0
     asked: float = 0.0      # asks, fading
     asked_at: float = 0.0
@@ -91,7 +92,7 @@
     def fill(self, now: float) -> None:
         span, self.filled = max(0.0, now - self.filled), max(now, self.filled)
         if self.limited:
-            self.level = max(self.level, min(self.depth(), self.level + self.pace() * span))
+            self.level = min(self.depth(), self.level + self.pace() * span)
         self.fill_cap(max(1.0, self.cap or 0.0), span)
 
     def ask(self, now: float) -> None:
@@ -161,12 +162,15 @@
         if t.terms.prio is None:
             t.worth = max(t.worth, worth)
         t.fill(now)
-        lacks, cut = t.limited and t.level < 1.0, t.cap is not None and t.cap_level < 1.0
+        lacks = t.limited and t.level < 1.0 and t.lent < 1.0
+        cut = t.cap is not None and t.cap_level < 1.0
         if cut or (lacks and not self._drawn(t)):
             wait = self._until_one(t) if lacks else 0.0
             wait = max(wait, (1.0 - t.cap_level) / max(t.cap, 1e-3)) if cut else wait
             return Verdict(False, min(WAIT_MOST, wait), "quota" if lacks else "cut")
-        if t.limited:
+        if t.limited and t.level < 1.0 <= t.lent:
+            t.lent -= 1.0
+        elif t.limited:
             t.level = max(0.0, t.level - 1.0)
         if t.cap is not None:
             t.cap_level -= 1.0
@@ -196,9 +200,8 @@
 
     def lend(self, tenant: str, count: int, now: float) -> None:
         """So many requests may pass beyond the slice: the giver has handed them out."""
-        t = self._tenant(tenant)
-        t.fill(now)
-        t.level += count
+        # Not in the bucket: a slice that is lowered takes what it held with it, as others hold that now.
+        self._tenant(tenant).lent += count
 
     def sent(self, tenant: str, work: float, now: float, first: bool = True) -> None:
         """An attempt was sent, with about `work` s for its server; only the `first` counts as a request."""
--- a/tests/folio/test_admission.py
+++ b/tests/folio/test_admission.py
@@ -273,6 +273,12 @@
         made.slice_of("t", None, START + 10.0)
         self.assertFalse(any(made.admit("t", 1.0, START + 10.0 + i / 50).ok for i in range(500)))
 
+    def test_what_the_giver_lends_passes_once_and_a_lowered_slice_still_loses_what_it_held(self):
+        made = ingress({"t": TenantTerms(10.0, 20.0, 0)})
+        made.lend("t", 2, START)
+        made.slice_of("t", 0.0, START)
+        self.assertEqual(sum(made.admit("t", 1.0, START + i / 100).ok for i in range(50)), 2)
+
     def test_what_never_ran_frees_its_place_and_a_lower_limit_binds_at_once(self):
         made = ingress({"t": TenantTerms(1.0, 1.0, 0)})
         self.assertTrue(made.admit("t", 1.0, START).ok)
