--- a/fennelpoint/net/server.py
+++ b/fennelpoint/net/server.py
@@ -169,8 +169,11 @@
         self.fresh = False
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._fault(BadRequest("no other protocol is spoken here"))
+        except httptools.HttpParserUpgrade as upgrade:
+            # Only this protocol is spoken here, and whoever offers another has to do with that.
+            if not self.deaf:
+                self.parser = httptools.HttpRequestParser(self)
+                return self.data_received(data[upgrade.args[0]:])
         except httptools.HttpParserError as error:
             self._fault(BadRequest(f"it can't be read: {error}"))
         if (self.in_head or self.in_body) and not self.fresh:   # a fresh one began within these bytes
@@ -213,6 +216,9 @@
                 coding = value
             elif name == b"expect" and value.lower() == b"100-continue":
                 self.expects = self.parser.get_http_version() == "1.1"
+        if (coding is not None or length is not None) and self.parser.should_upgrade():
+            # Guards the body: the parser would take none, and what follows for another protocol's bytes.
+            return self._fault(BadRequest("its body comes with the wish for another protocol"))
         if coding is not None and (length is not None or coding.lower() != b"chunked"
                                    or self.parser.get_http_version() != "1.1"):
             # Guards against a second request hidden in a body whose end others see elsewhere.
--- a/folio/circulation/clerk.py
+++ b/folio/circulation/clerk.py
@@ -30,6 +30,7 @@
 HEDGE = 3.0             # usual times of an answer after which a repeatable request is sent once more
 TAIL_STEP, TAIL = 0.05, 0.04    # how the time that all but the slowest TAIL of answers take is followed
 LEAST_LEFT = 0.02       # s that must be left for another try to be of use
+NOT_RUN = frozenset((429, 503, 408, 421))   # a promise: it has not run and never will
 RETURN_LEAST = 0.05     # s, least told a client to come back after
 
 
@@ -259,6 +260,8 @@
         self._learn(t, server, sent, status, load, now)
         if status is Status.OK:
             self.admission.answered(t.tenant, now - t.begun, t.route.target, now)
+            for other, _ in t.out.values():     # nobody tells of those that were slower
+                other.out -= 1
             del self.tries[number]
             return [Give(number, 0, answer=answer)]
         if status not in (Status.CONNECT_FAILED, Status.MOOT):
@@ -286,7 +289,7 @@
             return self._refuse(t, now, status.value)
         del self.tries[t.id]
         self.admission.answered(t.tenant, max(now - t.begun, t.route.target * 1.5), t.route.target, now)
-        if t.answer is not None:
+        if t.answer is not None and t.answer.status not in NOT_RUN:
             return [Give(t.id, 0, answer=t.answer)]
         return [Give(t.id, 504 if now >= t.ends - LEAST_LEFT else 502, reason=status.value)]
 
--- a/folio/circulation/daemon.py
+++ b/folio/circulation/daemon.py
@@ -6,14 +6,13 @@
 import gc
 import signal
 import sys
-import time
 from random import Random
 
 import uvloop
 
 from fennelpoint.net.server import Bounds, Server
 from folio import boot as boots
-from folio import logs
+from folio import clock, logs
 from folio.catalogue.routing import Table
 from folio.circulation.desk import Desk
 from folio.circulation.follower import Follower
@@ -32,11 +31,11 @@
 class Process:
     """Wires the desk to its sockets, clock and signals."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, boot: boots.Boot) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, boot: boots.Boot, rng: Random | None = None) -> None:
         self.loop, self.boot = loop, boot
         sockets = max(64, boot.limits.nofile - FILES - 32)
         upstream = int(sockets * UPSTREAM_PART)
-        rng = Random()
+        rng = rng or Random()
         self.desk = Desk(loop, boot, rng, upstream)
         self.reader = Reader()
         self.server = Server(loop, self.desk, sockets - upstream, self.reader, Bounds())
@@ -73,7 +72,7 @@
         call.reply(200 if self.ready() else 503)
 
     def _tick(self) -> None:
-        now = time.monotonic()
+        now = clock.monotonic()
         try:
             self.desk.members = self.follower.members
             self.desk.slices(now)
@@ -98,16 +97,16 @@
     def stop(self) -> None:
         """No longer ready; what still comes is served, what is under way is finished."""
         if self.stopping_since is None:
-            self.stopping_since = time.monotonic()
+            self.stopping_since = clock.monotonic()
             self.server.stopping = True     # each answer is the last of its connection
             logs.say("stopping", under_way=self.desk.under_way)
             self.loop.call_later(ACCEPT_ON, self._finish)
 
     def _finish(self) -> None:
         self.server.stop_listening()
-        self.server.close_unused(time.monotonic())
+        self.server.close_unused(clock.monotonic())
         grace = boots.seconds(self.boot.bounds.grace, "grace")
-        late = time.monotonic() - self.stopping_since > grace - END_BEFORE
+        late = clock.monotonic() - self.stopping_since > grace - END_BEFORE
         if late or not (self.server.connections or self.desk.under_way):
             self.follower.stop()
             self.loop.call_later(0.05, self._end)
--- a/folio/circulation/desk.py
+++ b/folio/circulation/desk.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from dataclasses import dataclass, field
 from random import Random
 
 from fennelpoint.interface import BackendEntry, BackendState, Roster, RosterKind, Status
 from fennelpoint.net.backends import HOP_BY_HOP, Answer, Backends, Exchange, UpstreamConnection
 from fennelpoint.net.flow import Budget
-from folio import logs
+from folio import clock, logs
 from folio.accession.register import Record
 from folio.boot import Boot, seconds
 from folio.catalogue.routing import Table
@@ -71,7 +70,7 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, boot: Boot, rng: Random, connections: int) -> None:
         self.loop, self.boot, self.rng = loop, boot, rng
-        now = time.monotonic()
+        now = clock.monotonic()
         bounds = boot.bounds
         self.admission = Admission(now, rng)
         self.budget = RetryBudget(bounds.retry_ratio, seconds(bounds.retry_window, "retry_window"),
@@ -93,7 +92,7 @@
 
     def follow(self, records: list[Record], whole: bool) -> None:
         """Servers, all or those changed: the sockets keep to it from now on."""
-        self.clerk.follow(records, whole, time.monotonic())
+        self.clerk.follow(records, whole, clock.monotonic())
         entries, addresses = [], {}
         for record in records:
             state = (BackendState.GONE if record.phase == "gone" else
@@ -104,7 +103,7 @@
         self.backends.follow(Roster(RosterKind.FULL if whole else RosterKind.CHANGES, 0, entries), addresses)
 
     def configure(self, table: Table) -> None:
-        now = time.monotonic()
+        now = clock.monotonic()
         self.table = table
         self.admission.configure(table.tenants, now)
         self.slices(now)
@@ -124,7 +123,7 @@
 
     def asks(self) -> dict[str, float]:
         """Asks by tenant for the slices; tenants that ask nothing are named too."""
-        asked = self.admission.asks(time.monotonic())
+        asked = self.admission.asks(clock.monotonic())
         tenants = self.table.tenants.items() if self.table else ()
         return {name: round(asked.get(name, 0.0), 3) for name, tenant in tenants if tenant.rate > 0.0}
 
@@ -133,7 +132,7 @@
     def admit(self, client: object, asked: Asked) -> int:
         """Take a request; its id, for `gone`."""
         self.last_id += 1
-        now = time.monotonic()
+        now = clock.monotonic()
         ticket = Ticket(self.last_id, asked, client, now + asked.time_left)
         self.tickets[ticket.id] = ticket
         self.open_ids.add(asked.txn)
@@ -156,7 +155,7 @@
         ticket = self.tickets.get(request)
         if ticket is None or ticket.client is None:
             return
-        self.clerk.gone(request, time.monotonic())
+        self.clerk.gone(request, clock.monotonic())
         self._finish(ticket, lambda client: None)
         for exchange in list(ticket.out.values()):
             exchange.give_up(Status.CANCELLED)
@@ -172,12 +171,12 @@
             elif isinstance(action, Draw):
                 self._draw(action)
             elif isinstance(action, Wake):
-                self.loop.call_at(self.loop.time() + action.at - time.monotonic(), self._wake, action.id)
+                self.loop.call_at(self.loop.time() + action.at - clock.monotonic(), self._wake, action.id)
 
     def _draw(self, draw: Draw) -> None:
         def done(given: int, wait: float) -> None:
             ticket = self.tickets.get(draw.id)
-            now = time.monotonic()
+            now = clock.monotonic()
             if given and draw.tenant in self.admission.tenants:
                 self.admission.lend(draw.tenant, given, now)
             if ticket is None or ticket.client is None:
@@ -191,7 +190,7 @@
 
     def _wake(self, request: int) -> None:
         if request in self.tickets:
-            self._do(self.clerk.late(request, time.monotonic()))
+            self._do(self.clerk.late(request, clock.monotonic()))
 
     def _send(self, send: Send) -> None:
         ticket = self.tickets[send.id]
@@ -205,7 +204,7 @@
             ticket.out.pop(number, None)
             self._outcome(ticket, number, status, answer, passing)
 
-        exchange = Exchange(lambda: asked.render(ticket.deadline - time.monotonic(), server.id), done,
+        exchange = Exchange(lambda: asked.render(ticket.deadline - clock.monotonic(), server.id), done,
                             upload=asked.upload, receiver=passing, echo=asked.txn,
                             idle=None if asked.route.safe else UNSAFE_IDLE)
         ticket.out[number] = exchange
@@ -214,11 +213,11 @@
     def _outcome(self, ticket: Ticket, number: int, status: Status, answer: Answer | None,
                  passing: Passing | None = None) -> None:
         if ticket.client is not None and ticket.passing is not None and ticket.passing is passing:
-            self.clerk.gone(ticket.id, time.monotonic())
+            self.clerk.gone(ticket.id, clock.monotonic())
             self._finish(ticket, (lambda c: c.finish()) if status is Status.OK else (lambda c: c.broken()))
         elif ticket.client is not None and ticket.passing is None:
             load = load_of(answer) if answer is not None else None
-            self._do(self.clerk.outcome(ticket.id, number, status, answer, time.monotonic(), load))
+            self._do(self.clerk.outcome(ticket.id, number, status, answer, clock.monotonic(), load))
         self._forget(ticket)
 
     def _give(self, give: Give) -> None:
@@ -230,7 +229,7 @@
         self.counts[give.reason] = self.counts.get(give.reason, 0) + 1
         fields = {}
         if give.reason == "quota":
-            held = self.admission.held(time.monotonic())[ticket.asked.tenant]
+            held = self.admission.held(clock.monotonic())[ticket.asked.tenant]
             fields = {"tenant": ticket.asked.tenant, "share": -1.0 if held.share is None else held.share,
                       "rate": self.table.tenants[ticket.asked.tenant].rate}
         logs.say("refused" if give.status in NOT_RUN else "failed", id=ticket.asked.txn.decode("latin-1"),
@@ -259,7 +258,7 @@
         """The client's time is up."""
         if ticket.client is None:
             return
-        self._do(self.clerk.over(ticket.id, time.monotonic()))
+        self._do(self.clerk.over(ticket.id, clock.monotonic()))
         if ticket.client is not None:
             # Guards against a decision that has lost a request: its answer must not wait for it.
             logs.say("lost_track", id=ticket.asked.txn.decode("latin-1"))
--- a/folio/circulation/follower.py
+++ b/folio/circulation/follower.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Callable
 from random import Random
 
-from folio import logs
+from folio import clock, logs
 from folio.boot import Boot, BootError, address
 from folio.catalogue.routing import Table
 from folio.catalogue.structs import EMPTY, CatalogueError, Configuration
@@ -19,6 +18,7 @@
 REPORT = 0.5        # s between reports
 SILENT = 1.1        # s without a pulse after which another registry is tried
 ALONE = 0.8         # s that a registry may say it has no majority before another one is tried
+ALONE_AGAIN = 4.0   # s before one that had no majority is tried again
 DRAW_TIMEOUT = 0.06     # s for an answer from the reserve: a request waits for it
 CONNECT = 0.5       # s for a connection to come up
 
@@ -31,7 +31,7 @@
                  on_quiet: Callable[[list[str]], None], asks: Callable[[], dict[str, float]]) -> None:
         self.loop, self.boot, self.rng = loop, boot, rng
         self.on_table, self.on_servers, self.on_quiet, self.asks = on_table, on_servers, on_quiet, asks
-        self.life = time.time_ns() // 1000
+        self.life = clock.time_ns() // 1000
         self.hop = 0
         self.config: Configuration = EMPTY
         self.table: Table | None = None
@@ -66,20 +66,22 @@
         self._report()
 
     def _tick(self) -> None:
-        now = time.monotonic()
+        now = clock.monotonic()
         if self.link is not None:
             if now - self.heard_at > SILENT:
                 self._leave("silent")
-            elif self.alone_since is not None and now - self.alone_since > ALONE and len(self.known) > 1:
-                self._leave("alone")
+            elif (self.alone_since is not None and now - self.alone_since > ALONE
+                    and any(at <= now for addr, at in self.known.items() if addr != self.at)):
+                # Where all say so, we stay a while longer with each.
+                self._leave("alone", ALONE_AGAIN)
         if self.link is None and not self.dialling and not self.stopping:
             self.dialling = True
             self.loop.create_task(self._dial(now))
         self.loop.call_later(0.1, self._tick)
 
-    def _leave(self, why: str) -> None:
+    def _leave(self, why: str, again: float = 1.0) -> None:
         logs.say("session_left", registry=self.at, why=why)
-        self.known[self.at] = time.monotonic() + 1.0
+        self.known[self.at] = clock.monotonic() + again
         link, self.link = self.link, None
         link.close()
 
@@ -104,27 +106,27 @@
             async with asyncio.timeout(CONNECT):
                 await self.loop.create_connection(lambda: link, host, self.boot.port_range[0])
             self.link, self.at, self.alone_since = link, addr, None
-            self.heard_at = time.monotonic()
+            self.heard_at = clock.monotonic()
             self.hop += 1
             self.told_slot = -1
             link.send(m.Open(self.boot.hostname, self.life, self.hop, self.boot.az, self.slot, self.register,
                              self.place))
         except (OSError, TimeoutError):
-            self.known[addr] = time.monotonic() + 0.4
+            self.known[addr] = clock.monotonic() + 0.4
         finally:
             self.dialling = False
 
     def _ended(self, link: Link) -> None:
         if self.link is link:
             self.link = None
-            self.known[self.at] = time.monotonic() + 0.3
+            self.known[self.at] = clock.monotonic() + 0.3
             if not self.stopping:
                 logs.say("session_lost", registry=self.at)
 
     def _heard(self, link: Link, message: m.Message) -> None:
         if link is not self.link:
             return
-        now = time.monotonic()
+        now = clock.monotonic()
         self.heard_at = now
         kind = type(message)
         if kind is m.Pulse:
@@ -210,7 +212,7 @@
             done(0, DRAW_TIMEOUT)
 
     def _report(self) -> None:
-        self._send_report(time.monotonic())
+        self._send_report(clock.monotonic())
         self.loop.call_later(REPORT * self.rng.uniform(0.9, 1.1), self._report)
 
     def _send_report(self, now: float) -> None:
--- /dev/null
+++ b/folio/clock.py
@@ -0,0 +1,7 @@
+"""The clocks that daemons read. The emulator puts virtual ones in their place; nobody else changes them."""
+
+import time as _time
+
+monotonic = _time.monotonic     # seconds of the steady clock
+time = _time.time               # seconds of the time of day
+time_ns = _time.time_ns         # the same in whole nanoseconds
--- a/folio/logs.py
+++ b/folio/logs.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import time
 
 import picologging
 
+from folio import clock
+
 _log = picologging.getLogger("folio")
 _SAMPLE, _SPAN = 5, 1.0     # lines of one event within so many seconds; the rest is counted
 _seen: dict[str, list] = {}
@@ -26,7 +27,7 @@
 
 def say(event: str, **fields: object) -> None:
     """Log an event. Within a second only the first few lines of one event are written."""
-    now = time.monotonic()
+    now = clock.monotonic()
     seen = _seen.get(event)
     if seen is None or now - seen[0] > _SPAN:
         if seen is not None and seen[1] > _SAMPLE:
@@ -34,7 +35,7 @@
         seen = _seen[event] = [now, 0]
     seen[1] += 1
     if seen[1] <= _SAMPLE:
-        _log.info(" ".join([f"t={time.time():.3f} event={event}", *(f"{k}={_text(v)}" for k, v in fields.items())]))
+        _log.info(" ".join([f"t={clock.time():.3f} event={event}", *(f"{k}={_text(v)}" for k, v in fields.items())]))
 
 
 def failure(event: str) -> None:
--- a/folio/registry/daemon.py
+++ b/folio/registry/daemon.py
@@ -11,14 +11,13 @@
 import os
 import signal
 import sys
-import time
 from random import Random
 
 import msgspec
 import uvloop
 
 from folio import boot as boots
-from folio import calls, logs
+from folio import calls, clock, logs
 from folio.accession import quorum
 from folio.accession.digest import DigestOffer, RangeRecords, Repair
 from folio.accession.register import AccessionError, Record, Register, check_id, parse_beat
@@ -44,6 +43,7 @@
 READ = 0.85     # s within which the configuration is read
 QUIET = 2.6     # beats without a sign of life after which desks are told that a server is silent
 FORGET_REGISTRY = 30.0  # s of silence after which a registry that neither votes nor is a seed is forgotten
+LEASED = 9.0    # s after it was last a member that a desk may still hold a lease
 SAVE = 1.0      # s between two writes of the register
 
 
@@ -60,11 +60,15 @@
 class Registry:
     """The process: owner of all that a registry knows."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, boot: boots.Boot, path: str | None = None) -> None:
+    store_type, disk_type = Store, Disk     # the emulator has its own
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, boot: boots.Boot, path: str | None = None,
+                 rng: Random | None = None) -> None:
         self.loop, self.boot, self.path = loop, boot, path
-        self.rng = Random()
+        self.rng = rng or Random()
         self.me = boot.bind.ctl
-        self.life = f"{time.time_ns() // 1000:x}.{self.rng.getrandbits(32):08x}"
+        self.kept_disk = False
+        self.life = f"{clock.time_ns() // 1000:x}.{self.rng.getrandbits(32):08x}"
         self.machine = Machine()
         self.disk, durable = self._open_disk()
         self.node = Node(charter.Voter(durable.id, self.me), durable, self.machine, self.rng,
@@ -76,10 +80,11 @@
         self.pending = quorum.Pending(self.me)
         self.roll = Roll(self.me, self.life)
         self.detector = Detector(PING)
-        self.duties = duties.Duties(self.me, self.rng, now, KEYS)
+        self.duties = duties.Duties(self.me, self.rng, now, KEYS, remembered=self._granted())
         self.lenders: dict[str, Lender] = {}
         self.reserves: dict[str, Reserve] = {}
-        self.known_desks: set[str] = set()
+        self.known_desks: set[str] = set()      # those that may hold a lease
+        self.desk_seen: dict[str, float] = {}
         self.dialers: dict[str, Dialer] = {}
         self.heard_at: dict[str, float] = {}    # registries, by when they were last heard
         self.lives: dict[str, str] = {}
@@ -102,7 +107,7 @@
         self._restore()
 
     def now(self) -> float:
-        return time.monotonic()
+        return clock.monotonic()
 
     # Disk
 
@@ -110,14 +115,23 @@
         if not self.boot.datadir:
             durable = Durable(id=f"{self.rng.getrandbits(96):024x}")
             return None, durable
-        store = Store(os.path.join(self.boot.datadir, "folio.db"))
+        store = self.store_type(os.path.join(self.boot.datadir, "folio.db"))
         store.open()
         durable = store.load()
+        self.kept_disk = durable.id is not None and not store.set_aside
         records = settle(durable, self.me, self.boot.seeds, self.boot.bootstrap, self.rng)
         if records:
             store.write(records)
         logs.say("store_open", id=durable.id, floor=durable.floor, set_aside=store.set_aside)
-        return Disk(self.loop, store), durable
+        return self.disk_type(self.loop, store), durable
+
+    def _granted(self) -> dict[str, str] | None:
+        """Whom this voter granted each duty last; None if its disk has lost that."""
+        if self.disk is None:
+            return None
+        held = {key[5:]: value.decode() for key, value in self.disk.store.notes().items()
+                if key.startswith("duty/")}
+        return held if held or self.boot.bootstrap or self.kept_disk else None
 
     def _restore(self) -> None:
         """Take up the servers and desks known before the start."""
@@ -125,6 +139,7 @@
             return
         notes, now = self.disk.store.notes(), self.now()
         self.known_desks = set(self.disk.store.members())
+        self.desk_seen = dict.fromkeys(self.known_desks, now)
         try:
             if (held := notes.get("register")) is not None:
                 for record in msgspec.msgpack.decode(held, type=list[Record]):
@@ -134,12 +149,15 @@
 
     def _save(self, now: float) -> None:
         self.due["save"] = now + SAVE
-        desks = set(self.roll.members(now)) - self.known_desks
-        records: list = [Member(desk, b"") for desk in desks]
+        for desk in self.roll.members(now):
+            self.desk_seen[desk] = now
+        lately = {desk for desk, at in self.desk_seen.items() if now - at < LEASED}
+        records: list = [Member(desk, b"") for desk in lately - self.known_desks]
+        records += [Member(desk, None) for desk in self.known_desks - lately]
         if self.register.version != self.saved_version:
             self.saved_version = self.register.version
             records.append(Note("register", msgspec.msgpack.encode(self.register.records(now))))
-        self.known_desks |= desks
+        self.known_desks = lately
         if records and self.disk is not None:
             self.disk.write(records, lambda ok: None)
 
@@ -278,7 +296,7 @@
         elif issubclass(kind, _CHARTER):
             self._carry(self.node.handle(addr, message, now))
         elif issubclass(kind, _DUTIES):
-            self._post_all(self.duties.handle(addr, message, now))
+            self._carry_duties(self.duties.handle(addr, message, now))
         elif kind is quorum.Hold:
             held = quorum.answer(message, self.register, now)
             self._post(addr, held)
@@ -345,8 +363,8 @@
         voters = {voter.addr for voter in self.node.voters}
         self.node.listeners = [addr for addr in self.dialers if addr not in voters]
         live = self.detector.near(now, self.dialers)
-        self._post_all(self.duties.tick(now, {addr for addr in live if addr in voters}
-                                        | ({self.me} & voters), voters))
+        self._carry_duties(self.duties.tick(now, {addr for addr in live if addr in voters}
+                                             | ({self.me} & voters), voters))
         self._mind_lenders(now)
         self._post_all(self.pending.again(now))
         for ticket in self.pending.expired(now):
@@ -374,6 +392,14 @@
         if now >= self.due["save"]:
             self._save(now)
 
+    def _carry_duties(self, out: list[tuple[str, m.Message]]) -> None:
+        """Send what the duties say, once those it newly granted are on disk."""
+        if not self.duties.unsaved or self.disk is None:
+            return self._post_all(out)
+        notes = [Note(f"duty/{key}", holder.encode()) for key, holder in self.duties.unsaved.items()]
+        self.duties.unsaved.clear()
+        self.disk.write(notes, lambda ok: self._post_all(out) if ok else None)
+
     def _tell_registries(self, now: float) -> None:
         heard = self.register.heard_since(self.heard_mark)
         self.heard_mark = now
@@ -566,7 +592,7 @@
         if fence is None:
             return None
         if held.fence > fence:
-            self._post_all(self.duties.saw(key, held.fence, now))
+            self._carry_duties(self.duties.saw(key, held.fence, now))
             return None
         lender = self.lenders.get(key)
         if lender is None or lender.fence != fence:
--- a/folio/rolls/duties.py
+++ b/folio/rolls/duties.py
@@ -125,7 +125,8 @@
     """
 
     def __init__(
-        self, me: str, rng: Random, now: float, keys: Iterable[str], terms: DutyTerms | None = None
+        self, me: str, rng: Random, now: float, keys: Iterable[str], terms: DutyTerms | None = None,
+        remembered: dict[str, str] | None = None,
     ) -> None:
         self.me = me
         self.terms = terms or DutyTerms()
@@ -138,6 +139,9 @@
         self._hands = {key: Hand() for key in self.keys}
         self._told: dict[str, tuple[str, float, int]] = {}  # key -> holder, until, fence
         self._closing = False
+        self._saved = dict(remembered or {})
+        self._remembered = remembered  # whom an earlier life granted what; None: not known
+        self.unsaved: dict[str, str] = {}  # key -> holder, to be on disk before what was returned goes out
 
     def handle(self, sender: str, message: Message, now: float) -> Outbox:
         """Takes a message. One for a key that is not known here is dropped."""
@@ -164,6 +168,7 @@
             if self._voters is not None and self.me in voters and self.me not in self._voters:
                 # The holder may still count on the voters before, and we know nothing of its grants.
                 self._silent_until = max(self._silent_until, now + self.terms.term + self.terms.margin)
+                self._remembered = None
             self._voters = frozenset(voters)
         if self._closing:
             return []
@@ -211,12 +216,14 @@
 
     def _on_seek(self, sender: str, seek: Seek, now: float) -> Outbox:
         vote = self._votes[seek.key]
-        if now < self._silent_until:
+        if now < self._silent_until and not self._granted_before(seek.key, sender):
             left = self._silent_until - now
             return [(sender, Refused(seek.key, seek.token, vote.seen, "", left))]
         if vote.holder not in ("", sender) and now < vote.until:
             left = vote.until - now
             return [(sender, Refused(seek.key, seek.token, vote.seen, vote.holder, left))]
+        if sender != self._saved.get(seek.key):
+            self._saved[seek.key] = self.unsaved[seek.key] = sender
         vote.holder, vote.token = sender, seek.token
         vote.until = now + seek.term + self.terms.margin
         vote.seen = max(vote.seen, seek.fence)
@@ -224,6 +231,13 @@
             self._tell(seek.key, sender, now + seek.term, seek.fence)
         return [(sender, Granted(seek.key, seek.token, vote.seen))]
 
+    def _granted_before(self, key: str, sender: str) -> bool:
+        """Whether an earlier life of this voter can have granted the key to nobody but the sender.
+
+        Its own earlier process has ended, or is the very one that asks.
+        """
+        return self._remembered is not None and self._remembered.get(key, sender) == sender
+
     def _on_release(self, sender: str, release: Release, now: float) -> None:
         vote = self._votes[release.key]
         if vote.holder == sender and vote.token >> 32 == release.token >> 32 and vote.token <= release.token:
--- /dev/null
+++ b/folio/stacks/clients.py
@@ -0,0 +1,231 @@
+"""Clients, and the platform that leads their connections to the desks that say they are ready."""
+
+from __future__ import annotations
+
+import zlib
+from typing import TYPE_CHECKING
+
+from folio.stacks import wire
+from folio.stacks.day import Route, Tenant
+
+if TYPE_CHECKING:
+    from folio.stacks.cell import Cell, Machine
+
+CONNECT = 1.0       # s that a connection is given to come up
+ASK_READY = 1.0     # s between two looks at a desk
+MISSES = 2          # looks without 200 after which it gets no new connections
+KEPT = 64           # connections that a zone's clients keep
+KEEP_MOST = 4.0     # s that a kept connection is used again after
+FINAL = frozenset((400, 401, 404, 413, 431))
+PROMISES = frozenset((429, 503, 408, 421))
+
+
+class Platform:
+    """Which desks get new connections."""
+
+    def __init__(self, cell: Cell) -> None:
+        self.cell, self.world = cell, cell.world
+        self.misses: dict[str, int] = {}
+        self.ready: dict[str, bool] = {machine.name: False for machine in cell.machines}
+        self.by_zone: dict[str, list[Machine]] = {}
+        for machine in cell.machines:
+            self.by_zone.setdefault(machine.zone, []).append(machine)
+        self.process = cell.network.process("platform", "10.250.0.1")
+        for number, machine in enumerate(cell.machines):
+            self.process.loop.call_later(ASK_READY * number / len(cell.machines), self._look, machine)
+
+    def _look(self, machine: Machine) -> None:
+        def done(answer: wire.Answer | None) -> None:
+            if answer is not None and answer.status == 200:
+                self.misses[machine.name], self.ready[machine.name] = 0, True
+                self.cell.judge.said_ready(machine.name)
+            else:
+                self.misses[machine.name] = self.misses.get(machine.name, 0) + 1
+                if self.misses[machine.name] >= MISSES:
+                    self.ready[machine.name] = False
+
+        self.process.loop.call_later(ASK_READY, self._look, machine)
+        wire.fetch(self.process, machine.readyz, wire.request("GET", machine.readyz, "/-/readyz", []),
+                   ASK_READY, done)
+
+    def pick(self, zone: str, client: int, tries: int) -> Machine:
+        """The desk for a new connection: by a hash of the client, another one for each further try."""
+        machines = [m for m in self.by_zone[zone] if self.ready[m.name]]
+        if not machines:
+            near = [m for m in self.cell.machines if self.ready[m.name]]
+            machines = near or self.by_zone[zone]
+        elif 2 * len(machines) < len(self.by_zone[zone]):
+            machines = self.by_zone[zone]
+        return machines[(zlib.crc32(b"%d" % client) + tries) % len(machines)]
+
+
+class Ask:
+    """What a client wants, over all its tries."""
+
+    __slots__ = ("route", "tenant", "zone", "client", "born", "ends", "tries", "owed", "earned", "attempts",
+                 "answered_at", "refused", "key", "first_refused_at", "old_key")
+
+    def __init__(self, route: Route, tenant: Tenant | None, zone: str, client: int, born: float, key: str) -> None:
+        self.route, self.tenant, self.zone, self.client = route, tenant, zone, client
+        self.born, self.ends, self.tries = born, born + route.deadline, 0
+        self.owed, self.earned = True, 0.0
+        self.attempts: list[str] = []
+        self.answered_at: float | None = None
+        self.refused = False
+        self.key, self.old_key = key, False
+
+
+class Zone:
+    """The clients of one zone."""
+
+    def __init__(self, cell: Cell, name: str, share: float) -> None:
+        self.cell, self.world, self.name, self.share = cell, cell.world, name, share
+        self.rng = self.world.random(f"clients/{name}")
+        self.process = cell.network.process(f"clients-{name}", f"10.240.{len(cell.client_zones)}.1")
+        self.loop = self.process.loop
+        self.kept: list[tuple[wire.Caller, Machine, float]] = []
+
+    def begin(self) -> None:
+        """The load begins: arrivals are Poisson, by route."""
+        if self.cell.day.trace:
+            return
+        for route in self.cell.deployment.routes:
+            if route.rate > 0.0:
+                self._next(route)
+
+    def _next(self, route: Route) -> None:
+        most = route.rate * self.share * self.cell.day.load * self.cell.most_factor
+        if most <= 0.0:
+            return
+        self.loop.call_later(self.rng.expovariate(most), self._arrive, route)
+
+    def _arrive(self, route: Route) -> None:
+        if self.world.now >= self.cell.load_ends:
+            return
+        self._next(route)
+        tenant = self.cell.draw_tenant(self.rng, route)
+        # Arrivals are drawn for the most that the day ever brings, and thinned.
+        if self.rng.random() * self.cell.most_factor < self.cell.factor(route, tenant):
+            self.ask(route, tenant)
+
+    def ask(self, route: Route, tenant: Tenant | None) -> None:
+        cell = self.cell
+        ask = Ask(route, tenant, self.name, self.rng.getrandbits(24), self.world.now,
+                  cell.key_of(tenant) if tenant is not None and not route.public else "")
+        cell.judge.born(ask)
+        self._try(ask)
+
+    # Tries
+
+    def _try(self, ask: Ask) -> None:
+        now = self.world.now
+        if now >= ask.ends - 0.005:
+            return self.cell.judge.over(ask)
+        attempt = f"{self.rng.getrandbits(64):016x}"
+        ask.tries += 1
+        ask.attempts.append(attempt)
+        ending = _Ending(self, ask, attempt)
+        if ask.tries == 1 and self.rng.random() < self.cell.deployment.clients.keep:
+            while self.kept:
+                caller, machine, at = self.kept.pop()
+                if caller.usable and now - at < KEEP_MOST:
+                    ending.machine, ending.caller = machine, caller
+                    return ending.send()
+                caller.leave()
+        ending.machine = self.cell.platform.pick(self.name, ask.client, ask.tries - 1)
+        ending.open()
+
+    def failed(self, ask: Ask, answer: wire.Answer | None, read: bool) -> None:
+        """A try has brought no success; `read`: the ingress may have read the request."""
+        now, route = self.world.now, ask.route
+        status = answer.status if answer is not None else 0
+        impatient = (ask.client & 0xFF) < 256 * self.cell.deployment.clients.impatient
+        repeats = route.repeats * (2 if impatient else 1)
+        may = status not in FINAL and (route.kind == "safe" or status in PROMISES or not read)
+        if not may or ask.tries > repeats or now >= ask.ends:
+            return self.cell.judge.over(ask)
+        wait = 0.02 + 0.05 * self.rng.random() * ask.tries
+        told = answer.headers.get(b"retry-after") if answer is not None else None
+        if told is not None and not impatient:
+            try:
+                wait = max(wait, min(float(told), (ask.ends - now) / 3.0))
+            except ValueError:
+                self.cell.judge.broken("MIXED", "Retry-After is no number")
+        self.loop.call_later(wait, self._try, ask)
+
+
+class _Ending:
+    """One try, which ends once."""
+
+    __slots__ = ("zone", "ask", "attempt", "machine", "caller", "timer", "sent", "made", "over")
+
+    def __init__(self, zone: Zone, ask: Ask, attempt: str) -> None:
+        self.zone, self.ask, self.attempt = zone, ask, attempt
+        self.machine: Machine | None = None
+        self.caller: wire.Caller | None = None
+        self.timer = self.made = None
+        self.sent = self.over = False
+
+    def open(self) -> None:
+        zone = self.zone
+        host, _, port = self.machine.http.rpartition(":")
+        self.made = zone.loop.create_future()
+        self.made.add_done_callback(self._up)
+        caller = self.caller = wire.Caller()
+        self.timer = zone.loop.call_later(min(CONNECT, self.ask.ends - zone.world.now), self.made.cancel)
+        zone.loop.network.dial(zone.process, lambda: caller, host, int(port), self.made)
+
+    def _up(self, made: object) -> None:
+        self.timer.cancel()
+        if made.cancelled() or made.exception() is not None:
+            return self._fail(None, False)
+        self.send()
+
+    def send(self) -> None:
+        zone, ask = self.zone, self.ask
+        now = zone.world.now
+        left = max(1, int((ask.ends - now) * 1000))
+        fields = [("X-Attempt-Id", self.attempt), ("X-Time-Left", str(left))]
+        if ask.key:
+            fields.append(("Authorization", f"Bearer {ask.key}"))
+        cell = zone.cell
+        path = f"/{ask.route.name}/{self.attempt[:6]}"
+        safe = ask.route.kind == "safe"
+        body = b"" if safe else self.attempt.encode() * (ask.route.bytes_in // 16 + 1)
+        cell.judge.sent(ask, self.attempt, self.machine.name, path, "GET" if safe else "POST", body)
+        self.sent = True
+        self.timer = zone.loop.call_later(ask.ends - now + 0.05, self._late)
+        data = wire.request("GET" if safe else "POST", cell.host, path, fields, body)
+        self.caller.ask(data, self._done)
+
+    def _late(self) -> None:
+        """The client waits no longer."""
+        if not self.over:
+            self.over = True
+            self.caller.leave()
+            self.zone.cell.judge.answered(self.ask, self.attempt, self.machine.name, None, given_up=True)
+            self.zone.cell.judge.over(self.ask)
+
+    def _done(self, answer: wire.Answer | None) -> None:
+        if self.over:
+            return
+        self.over = True
+        self.timer.cancel()
+        zone, judge = self.zone, self.zone.cell.judge
+        if self.caller.strays:
+            judge.broken("MIXED", f"bytes without a request from {self.machine.name}")
+        judge.answered(self.ask, self.attempt, self.machine.name, answer)
+        if answer is not None and answer.keep and len(zone.kept) < KEPT:
+            zone.kept.append((self.caller, self.machine, zone.world.now))
+        else:
+            self.caller.leave()
+        if answer is not None and 200 <= answer.status < 300:
+            return judge.over(self.ask)
+        zone.failed(self.ask, answer, True)
+
+    def _fail(self, answer: wire.Answer | None, read: bool) -> None:
+        if not self.over:
+            self.over = True
+            self.zone.failed(self.ask, answer, read)
+
+
--- /dev/null
+++ b/folio/stacks/disk.py
@@ -0,0 +1,180 @@
+"""A disk in memory: what is synced lasts, what is not may be lost, and the disk may be slow, full or gone."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from random import Random
+
+from folio.charter.records import Durable, Identity, Learned, Promised, Saved, Vote, Voted
+from folio.stacks.loop import ProcessLoop
+from folio.vault.errors import StoreError
+from folio.vault.store import Member, Note
+
+SYNC = 0.002        # s that a sync takes
+SLOW = 0.5          # s after which a write that is out is told of
+BATCH_MOST = 4096   # records in one transaction
+
+
+class Platter:
+    """What a machine's disk holds, whatever becomes of the processes on it."""
+
+    def __init__(self, rng: Random, sync: float = SYNC) -> None:
+        self.rng, self.sync = rng, sync
+        self.slow = 1.0             # how many times slower than usual
+        self.hangs_until = 0.0      # world time
+        self.full = False
+        self.syncs = 0
+        self.wipe()
+
+    def wipe(self) -> None:
+        """The disk is lost; an empty one is in its place."""
+        self.identity: dict[str, object] = {}
+        self.promises: dict[int, object] = {}
+        self.votes: dict[int, tuple] = {}
+        self.chosen: dict[int, object] = {}
+        self.saved: Saved | None = None
+        self.notes: dict[str, bytes] = {}
+        self.members: dict[str, bytes] = {}
+
+    def keep(self, records: Iterable[object]) -> None:
+        """Take in one transaction, which is synced from now on."""
+        for record in records:
+            self._keep(record)
+
+    def _keep(self, record: object) -> None:
+        match record:
+            case Identity(id=name):
+                self.identity["id"] = name
+            case Promised(slot=slot, ballot=ballot):
+                self.promises[slot] = ballot
+            case Voted(slot=slot, ballot=ballot, entry=entry):
+                self.votes[slot] = (ballot, entry)
+                self.promises[slot] = ballot
+            case Learned(slot=slot, entry=entry):
+                self.chosen[slot] = entry
+                self.promises.pop(slot, None)
+                self.votes.pop(slot, None)
+                self._raise_floor(slot)
+            case Saved(slot=slot, keep=keep):
+                self.saved = record
+                self.chosen = {at: entry for at, entry in self.chosen.items() if at >= keep}
+                self.promises = {at: ballot for at, ballot in self.promises.items() if at > slot}
+                self.votes = {at: vote for at, vote in self.votes.items() if at > slot}
+                self._raise_floor(slot)
+            case Note(key=key, value=value):
+                _set(self.notes, key, value)
+            case Member(name=name, value=value):
+                _set(self.members, name, value)
+            case _:
+                raise TypeError(f"no record: {record!r}")
+
+    def _raise_floor(self, slot: int) -> None:
+        self.identity["floor"] = max(slot, self.identity.get("floor", 0))
+
+    def durable(self) -> Durable:
+        """What a voter reads back after a start."""
+        told = Durable(id=self.identity.get("id"), floor=self.identity.get("floor", 0), saved=self.saved,
+                       chosen=dict(sorted(self.chosen.items())))
+        for slot, ballot in sorted(self.promises.items()):
+            told.votes[slot] = Vote(promised=ballot)
+        for slot, (ballot, entry) in sorted(self.votes.items()):
+            promised = told.votes.get(slot, Vote()).promised
+            told.votes[slot] = Vote(ballot if promised is None else max(ballot, promised), ballot, entry)
+        return told
+
+
+def _set(values: dict[str, bytes], key: str, value: bytes | None) -> None:
+    if value is None:
+        values.pop(key, None)
+    else:
+        values[key] = value
+
+
+class MemoryStore:
+    """`folio.vault.store.Store` over a platter. Writing before the start of the loop takes no time."""
+
+    set_aside = False
+
+    def __init__(self, platter: Platter) -> None:
+        self.platter = platter
+
+    def open(self) -> None:
+        if self.platter.full:
+            raise StoreError("the disk is full")
+
+    def load(self) -> Durable:
+        return self.platter.durable()
+
+    def write(self, records: Iterable[object]) -> None:
+        if self.platter.full:
+            raise StoreError("the disk is full")
+        self.platter.keep(records)
+
+    def notes(self) -> dict[str, bytes]:
+        return dict(self.platter.notes)
+
+    def members(self) -> dict[str, bytes]:
+        return dict(self.platter.members)
+
+    def close(self) -> None:
+        pass
+
+
+class MemoryDisk:
+    """`folio.registry.disk.Disk` on the virtual clock: one transaction at a time, synced a while later."""
+
+    def __init__(self, loop: ProcessLoop, store: MemoryStore) -> None:
+        self.loop, self.store, self.platter = loop, store, store.platter
+        self.waiting: list[tuple[list, Callable[[bool], None]]] = []
+        self.under_way: list[tuple[list, Callable[[bool], None]]] = []
+        self.since: float | None = None
+        self.open = True
+
+    @property
+    def out(self) -> int:
+        return len(self.waiting) + len(self.under_way)
+
+    def write(self, records: list, done: Callable[[bool], None]) -> None:
+        """`done(ok)` is called on the loop once the records are synced, or could not be written."""
+        if not self.out:
+            self.since = self.loop.time()
+        self.waiting.append((records, done))
+        if not self.under_way:
+            self._begin()
+
+    def _begin(self) -> None:
+        world, platter = self.loop.world, self.platter
+        self.under_way, self.waiting = self.waiting[:BATCH_MOST], self.waiting[BATCH_MOST:]
+        took = platter.sync * platter.slow * (0.8 + 0.4 * platter.rng.random())
+        world.at(max(world.now, platter.hangs_until) + took, world.outside, self._synced)
+
+    def _synced(self) -> None:
+        if not self.under_way:
+            return
+        ok = not self.platter.full
+        if ok:
+            self.platter.syncs += 1
+            self.platter.keep([record for records, _ in self.under_way for record in records])
+        jobs, self.under_way = self.under_way, []
+        self.loop.call_soon(self._done, jobs, ok)
+        if self.waiting:
+            self._begin()
+
+    def _done(self, jobs: list, ok: bool) -> None:
+        self.since = self.loop.time() if self.out else None
+        for _, done in jobs:
+            done(ok)
+
+    def cut_short(self) -> None:
+        """The process or the power is gone: what was under way is on the disk whole, or not at all."""
+        if self.under_way and not self.platter.full and self.platter.rng.random() < 0.5:
+            self.platter.keep([record for records, _ in self.under_way for record in records])
+        self.under_way, self.waiting = [], []
+
+    def stuck(self) -> float:
+        """Seconds that the oldest write has been out beyond what is usual; 0 if none has."""
+        late = 0.0 if self.since is None else self.loop.time() - self.since
+        return late if late > SLOW else 0.0
+
+    def close(self) -> None:
+        self.open = False
--- /dev/null
+++ b/folio/stacks/guise.py
@@ -0,0 +1,50 @@
+"""What the daemons' modules see in place of clocks, polls and logs while an emulation runs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from time import perf_counter
+
+from fennelpoint.net import backends, notice, server
+from folio import clock, logs
+from folio.stacks.loop import EPOCH, World
+from folio.stacks.network import Select
+
+
+class VirtualTime:
+    """Stands in for the module `time`, in whichever process is running."""
+
+    perf_counter = staticmethod(perf_counter)
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+
+    def monotonic(self) -> float:
+        return self.world.current.clock(self.world.now)
+
+    def time(self) -> float:
+        return EPOCH + self.world.now + self.world.current.skew
+
+    def time_ns(self) -> int:
+        return int(self.time() * 1e9)
+
+
+@contextmanager
+def worn(world: World, say: Callable[..., None]) -> Iterator[None]:
+    """Within this, the daemons' code lives in `world`, and what it logs goes to `say(event, **fields)`."""
+    told = VirtualTime(world)
+    places = [(clock, "monotonic", told.monotonic), (clock, "time", told.time), (clock, "time_ns", told.time_ns),
+              (logs, "say", say), (notice, "complain", lambda part, text, *args: None),
+              (backends, "complain", lambda part, text, *args: None)]
+    places += [(module, "time", told) for module in (backends, notice, server)]
+    places += [(module, "select", Select) for module in (backends, server)]
+    before = [(module, name, getattr(module, name)) for module, name, _ in places]
+    for module, name, value in places:
+        setattr(module, name, value)
+    try:
+        yield
+    finally:
+        for module, name, value in before:
+            setattr(module, name, value)
+        world.leave()
--- a/folio/transport/http.py
+++ b/folio/transport/http.py
@@ -10,7 +10,8 @@
 import httptools
 
 MOST_BODY = 16 * 1024 * 1024    # bytes of a call; a configuration of 20,000 routes has half of it
-IDLE = 30.0     # s that a caller's connection may stand
+MOST_WAITING = 64       # calls written behind one another on one connection
+IDLE = 30.0     # s without a byte after which a caller's connection is closed
 _PHRASE = {status.value: status.phrase for status in HTTPStatus}
 
 
@@ -49,28 +50,46 @@
         self.busy = False
         self.size = 0
         self.deaf = False
+        self.timer: asyncio.TimerHandle | None = None
+        self.heard = False      # since the timer was last set
         self._fresh()
 
     def _fresh(self) -> None:
-        self.url, self.parts, self.expects = b"", [], False
+        self.url, self.parts, self.expects, self.framed = b"", [], False, False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
+        self._stand()
+
+    def _stand(self) -> None:
+        """Close it if nothing is heard for a while and nothing is owed."""
+        if not (self.heard or self.busy) and self.timer is not None:
+            return self.transport.close()
+        self.heard = False
+        self.timer = asyncio.get_running_loop().call_later(IDLE, self._stand)
 
     def connection_lost(self, error: Exception | None) -> None:
         self.deaf = True
+        if self.timer is not None:
+            self.timer.cancel()
         self.parser = None
         self.waiting.clear()
 
     def data_received(self, data: bytes) -> None:
         if self.deaf:
             return
+        self.heard = True
         self.size += len(data)
+        if self.size > self.most:
+            return self._fault(413, "the call is too large")
         try:
-            if self.size > self.most:
-                return self._fault(413, "the call is too large")
             self.parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+        except httptools.HttpParserUpgrade as upgrade:
+            # Only HTTP is spoken here, and whoever offers more has to do with that.
+            if not self.deaf and self.parser is not None:
+                self.parser = httptools.HttpRequestParser(self)
+                self.data_received(data[upgrade.args[0]:])
+        except httptools.HttpParserError:
             self._fault(400, "the call can't be read")
 
     def _fault(self, status: int, text: str) -> None:
@@ -86,10 +105,16 @@
         self.url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if name.lower() == b"expect" and value.lower() == b"100-continue":
+        name = name.lower()
+        if name == b"expect" and value.lower() == b"100-continue":
             self.expects = True
+        elif name in (b"content-length", b"transfer-encoding"):
+            self.framed = True
 
     def on_headers_complete(self) -> None:
+        if self.framed and self.parser.should_upgrade():
+            # The parser leaves such a body unread, and it must not be taken for the next call.
+            return self._fault(400, "a call with a body can't change the protocol")
         if self.expects and not self.busy:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -98,6 +123,10 @@
 
     def on_message_complete(self) -> None:
         self.size = 0
+        if self.deaf:
+            return
+        if len(self.waiting) >= MOST_WAITING:
+            return self._fault(503, "too many calls at once")
         path = unquote(self.url.partition(b"?")[0].decode("latin-1"))
         method = self.parser.get_method().decode()
         self.waiting.append(Call(self, method, path, b"".join(self.parts), self.parser.should_keep_alive()))
--- /dev/null
+++ b/tests/folio/test_dialect.py
@@ -0,0 +1,390 @@
+"""Answers of servers, as bytes fed to a connection with no socket under it."""
+
+import os
+import random
+import unittest
+from types import SimpleNamespace
+from unittest import mock
+
+from fennelpoint.interface import BackendEntry, BackendState, Roster, RosterKind, Status
+from fennelpoint.net import backends, flow
+from fennelpoint.net.backends import Backends, Exchange
+from folio.circulation.desk import UNSAFE_IDLE
+from folio.circulation.dialect import ServerDialect, load_of
+
+BODY = b"the server's bytes"
+
+
+def answer(status=200, txn=b"one", body=BODY, fields=b"", seal=True, framing=None):
+    framing = b"Content-Length: %d\r\n" % len(body) if framing is None else framing
+    return (b"HTTP/1.1 %d Answer\r\nX-Attempt-Id: %b\r\n%b%b%b\r\n%b" % (
+        status, txn, b"X-Server-Seal: s.1\r\n" if seal else b"", fields, framing, body))
+
+
+class Transport:
+    """What is written, and whether it is closed; `slow` leaves it in the buffer."""
+
+    def __init__(self, fd, slow):
+        self.fd, self.slow, self.written, self.closed, self.protocol = fd, slow, b"", False, None
+
+    def set_write_buffer_limits(self, high):
+        pass
+
+    def get_extra_info(self, name):
+        return SimpleNamespace(fileno=lambda: self.fd)
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def write(self, data):
+        self.written += data
+        if self.slow:
+            self.protocol.pause_writing()
+
+    def is_closing(self):
+        return self.closed
+
+    def abort(self):
+        self.closed = True
+
+    def pause_reading(self):
+        pass
+
+    resume_reading = pause_reading
+
+
+class Task:
+    """A connection on its way."""
+
+    def __init__(self, factory):
+        self.factory, self.done = factory, None
+
+    def add_done_callback(self, done):
+        self.done = done
+
+    def cancel(self):
+        pass
+
+    def cancelled(self):
+        return False
+
+    def exception(self):
+        return None
+
+
+class Loop:
+    """Connections come up and timers go off when the test says so."""
+
+    def __init__(self):
+        self.coming, self.timers = [], []
+
+    def create_connection(self, factory, host, port):
+        return factory
+
+    def create_task(self, factory):
+        self.coming.append(Task(factory))
+        return self.coming[-1]
+
+    def call_later(self, delay, call, *args):
+        self.timers.append((delay, call, args))
+        return SimpleNamespace(cancel=lambda: None)
+
+
+class Case(unittest.TestCase):
+    def setUp(self):
+        self.now = 100.0
+        clock = SimpleNamespace(monotonic=lambda: self.now)
+        for patch in (mock.patch.object(backends, "time", clock), mock.patch.object(backends, "complain")):
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.said, self.say = os.pipe()     # stands for the socket where its readiness is looked at
+        self.addCleanup(os.close, self.said)
+        self.addCleanup(os.close, self.say)
+        self.loop = Loop()
+        self.pool = Backends(self.loop, 4, 0.3, 8.0, 4.0, flow.Budget(128), ServerDialect())
+        self.state(BackendState.READY)
+        self.ended = []
+
+    def state(self, state):
+        self.pool.follow(Roster(RosterKind.CHANGES, 0, [BackendEntry("s", state)]), {"s": ("10.0.0.1", 80)})
+
+    def begin(self, txn=b"one", unsafe=False, receiver=None, upload=None):
+        exchange = Exchange(lambda: b"GET / HTTP/1.1\r\n\r\n", lambda *ended: self.ended.append(ended),
+                            upload=upload, receiver=receiver, echo=txn,
+                            idle=UNSAFE_IDLE if unsafe else None)
+        self.pool.begin(exchange, "s")
+        return exchange
+
+    def connect(self, slow=False):
+        """The connection asked for last comes up."""
+        task = self.loop.coming.pop()
+        transport = Transport(self.said, slow)
+        transport.protocol = connection = task.factory()
+        connection.connection_made(transport)
+        task.done(task)
+        return connection
+
+    def feed(self, connection, *pieces):
+        for data in pieces:
+            if connection.transport.closed:
+                return
+            connection.get_buffer(-1)[:len(data)] = data
+            connection.buffer_updated(len(data))
+
+    def asked(self, *pieces, **told):
+        """A request on a new connection, and what is answered."""
+        for old in list(self.pool.all):
+            old.close()
+            old.connection_lost(None)
+        self.begin(**told)
+        connection = self.connect()
+        self.feed(connection, *pieces)
+        return connection
+
+    def lose(self, connection):
+        if not connection.transport.closed:
+            connection.eof_received()
+        connection.connection_lost(None)
+
+    def outcome(self):
+        self.assertEqual(len(self.ended), 1)
+        status, got = self.ended.pop()
+        return status, got.body if got is not None else None
+
+    @property
+    def kept(self):
+        return len(self.pool.upstreams["s"].idle)
+
+
+class Verdicts(Case):
+    def test_what_an_answer_proves(self):
+        def coded(status, fields=b""):
+            return answer(status, fields=fields, seal=False, body=b"x")
+        cases = [
+            (answer(), Status.OK, BODY),
+            (answer(201, body=b""), Status.OK, b""),
+            (answer(framing=b"Transfer-Encoding: chunked\r\n", body=b"5\r\nwhole\r\n0\r\n\r\n"), Status.OK, b"whole"),
+            (b"HTTP/1.1 100 Continue\r\n\r\n" + answer(), Status.OK, BODY),
+            (answer(seal=False), Status.ERROR, None),
+            (answer(fields=b"Content-Encoding: gzip\r\n"), Status.ERROR, None),
+            (answer(framing=b""), Status.ERROR, None),
+            (answer(302), Status.ERROR, None),
+            (coded(500), Status.ERROR, b"x"),
+            (coded(503), Status.ERROR, b"x"),
+            (coded(503, b"X-Not-Run: 1\r\n"), Status.FULL, b"x"),
+            (coded(429, b"X-NOT-RUN: full\r\n"), Status.FULL, b"x"),
+            (coded(400, b"X-Not-Run: \r\n"), Status.FULL, b"x"),
+            (coded(421), Status.FULL, b"x"),
+            (b"no answer at all\r\n\r\n", Status.ERROR, None),
+            (b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx", Status.ERROR, None),
+            (b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", Status.ERROR, None),
+            (b"HTTP/1.1 200 OK\r\nX: " + b"y" * 60_000 + b"z" * 60_000 + b"y" * 60_000, Status.ERROR, None),
+        ]
+        for data, status, body in cases:
+            with self.subTest(data[:90]):
+                self.asked(*(data[at:at + 50_000] for at in range(0, len(data), 50_000)))
+                self.assertEqual(self.outcome(), (status, body))
+
+    def test_an_answer_before_the_request_is_written_is_no_success(self):
+        for data, status in ((answer(), Status.RESET), (answer(500), Status.ERROR),
+                             (answer(503, fields=b"X-Not-Run: 1\r\n"), Status.FULL),
+                             (b"noise\r\n\r\n", Status.CONNECT_FAILED)):
+            with self.subTest(data[:40]):
+                self.begin()
+                connection = self.connect(slow=True)
+                self.feed(connection, data)
+                self.assertEqual(self.outcome()[0], status)
+                self.assertTrue(connection.transport.closed)
+
+    def test_an_answer_that_is_cut_off_proves_nothing(self):
+        whole = answer()
+        chunked = answer(framing=b"Transfer-Encoding: chunked\r\n", body=b"5\r\nwhole\r\n0\r\n\r\n")
+        for data in (whole, chunked, answer(500), answer(503, fields=b"X-Not-Run: 1\r\n")):
+            for at in range(len(data)):
+                self.lose(self.asked(data[:at]))
+                self.assertEqual(self.outcome(), (Status.RESET, None), data[:at])
+
+    def test_one_that_stops_is_not_waited_for_until_the_deadline(self):
+        self.asked(answer()[:-1])
+        self.now += self.pool.stalled
+        delay, call, args = self.loop.timers[-1]
+        call(*args)
+        self.assertEqual((self.outcome(), delay), ((Status.ERROR, None), self.pool.stalled))
+
+    def test_what_was_never_written_whole_never_ran(self):
+        self.begin()
+        self.lose(self.connect(slow=True))
+        self.assertEqual(self.outcome()[0], Status.CONNECT_FAILED)
+        exchange = self.begin()
+        self.connect(slow=True)
+        exchange.give_up(Status.TIMEOUT)
+        self.assertEqual(self.outcome()[0], Status.CONNECT_FAILED)
+        exchange = self.begin()
+        connection = self.connect()
+        exchange.give_up(Status.TIMEOUT)
+        self.assertEqual((self.outcome()[0], connection.transport.closed), (Status.TIMEOUT, True))
+
+    def test_load(self):
+        for told, load in ((b"3,0,8", (3, 0, 8)), (b" 3 , 1 , 8 ", (3, 1, 8)), (b"3,0", None), (b"3,-1,8", None),
+                           (b"3,0,8,1", None), (b"a,b,c", None), (b"1,2,99999999999", None), (b"", None)):
+            self.assertEqual(load_of(backends.Answer(200, [(b"x-server-load", told)], b"")), load, told)
+        self.assertIsNone(load_of(backends.Answer(200, [], b"")))
+
+
+class OtherBytes(Case):
+    def test_the_answer_to_a_request_that_was_over_is_skipped(self):
+        chunked = answer(txn=b"old", framing=b"Transfer-Encoding: chunked\r\n", body=b"3\r\nold\r\n0\r\n\r\n")
+        for old in (answer(txn=b"old", body=b"old"), answer(500, b"old"), chunked,
+                    answer(503, b"old", fields=b"X-Not-Run: 1\r\n"), answer(204, b"old", b"", framing=b"")):
+            data = old + answer()
+            for at in range(1, len(data), 3):
+                connection = self.asked(data[:at], data[at:])
+                self.assertEqual(self.outcome(), (Status.OK, BODY), (old, at))
+                self.assertTrue(connection.transport.closed)    # out of step once, it is not trusted again
+
+    def test_one_that_never_comes_after_it_may_have_run(self):
+        self.lose(self.asked(answer(txn=b"old")))
+        self.assertEqual(self.outcome(), (Status.RESET, None))
+
+    def test_what_follows_a_whole_answer_belongs_to_nobody(self):
+        for more in (b"x", answer(), answer(txn=b"two"), b"\r\n\r\nnoise", answer(500)[:20]):
+            connection = self.asked(answer() + more)
+            self.assertEqual(self.outcome(), (Status.OK, BODY), more)
+            self.assertEqual((self.kept, connection.transport.closed), (0, True))
+
+    def test_what_comes_unasked_on_an_unused_connection_closes_it(self):
+        connection = self.asked(answer())
+        self.outcome()
+        self.assertEqual(self.kept, 1)
+        self.feed(connection, answer(txn=b"two"))
+        self.assertEqual((self.kept, connection.transport.closed), (0, True))
+
+    def test_what_waits_there_unread_is_found_before_it_is_used_again(self):
+        connection = self.asked(answer())
+        self.outcome()
+        os.write(self.say, b"x")
+        self.begin()
+        self.assertEqual((connection.transport.closed, len(self.loop.coming)), (True, 1))
+
+    def test_any_bytes_have_one_outcome_and_a_success_is_the_whole_body(self):
+        rng = random.Random(5)
+        parts = [answer(), answer(txn=b"old"), answer(500), answer(503, fields=b"X-Not-Run: 1\r\n"), b"\r\n",
+                 b"HTTP/1.1 100 Continue\r\n\r\n", b"\x00\xff", answer(seal=False), answer()[:70],
+                 answer(framing=b"Transfer-Encoding: chunked\r\n", body=b"12\r\n" + BODY + b"\r\n0\r\nX: y\r\n\r\n")]
+        for _ in range(1500):
+            data = b"".join(rng.choices(parts, k=rng.randint(1, 4)))
+            if rng.random() < 0.5:
+                data = data[:rng.randrange(len(data))]
+            pieces = []
+            while data:
+                size = rng.choice([1, 3, 40, 1000])
+                pieces.append(data[:size])
+                data = data[size:]
+            connection = self.asked(*pieces)
+            self.lose(connection)
+            status, body = self.outcome()
+            if status is Status.OK:
+                self.assertEqual(body, BODY)
+            self.assertEqual((len(self.pool.all), self.kept, self.pool.budget.used), (0, 0, 0))
+
+
+class Large(Case):
+    def test_it_is_passed_on_as_it_comes_and_ends_as_it_ends(self):
+        body = bytes(range(256)) * 1000
+        for cut, status in ((len(body), Status.OK), (len(body) - 1, Status.RESET)):
+            with self.subTest(cut):
+                got = []
+                receiver = SimpleNamespace(begin=lambda told, length, source, got=got: got.append(told.body),
+                                           piece=got.append)
+                connection = self.asked(receiver=receiver)
+                data = answer(body=body[:cut], framing=b"Content-Length: %d\r\n" % len(body))
+                self.feed(connection, *(data[at:at + 4096] for at in range(0, len(data), 4096)))
+                if status is not Status.OK:
+                    self.assertEqual(self.ended, [])
+                    self.lose(connection)
+                self.assertEqual((self.outcome(), b"".join(got)), ((status, None), body[:cut]))
+                self.assertEqual(self.pool.budget.used, 0)
+
+
+    def test_a_body_goes_on_in_the_framing_it_came_in(self):
+        for length, sent in ((None, b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"), (5, b"abcde")):
+            upload = flow.Upload(self.pool.budget, length, lambda on: None, [b"abc"])
+            connection = self.asked(upload=upload)
+            upload.feed(b"de")
+            upload.end()
+            self.feed(connection, answer())
+            self.assertEqual(connection.transport.written, b"GET / HTTP/1.1\r\n\r\n" + sent)
+            self.assertEqual((self.outcome(), self.pool.budget.used), ((Status.OK, BODY), 0))
+
+    def test_a_server_that_leaves_amid_a_body_has_not_run_it(self):
+        upload = flow.Upload(self.pool.budget, 5, lambda on: None, [b"abc"])
+        self.lose(self.asked(upload=upload))
+        self.assertEqual((self.outcome(), self.pool.budget.used), ((Status.CONNECT_FAILED, None), 0))
+
+
+class Connections(Case):
+    def used_again(self, idle, unsafe=False, **told):
+        """Whether the connection of an answer is used for a request that comes so many seconds later."""
+        connection = self.asked(answer(**told))
+        self.outcome()
+        self.now += idle
+        self.begin(unsafe=unsafe)
+        again = connection.exchange is not None
+        self.assertEqual(len(self.loop.coming), 0 if again else 1)
+        closed = connection.transport.closed
+        if again:
+            self.lose(connection)
+        self.loop.coming.clear()
+        self.pool.connecting.clear()
+        self.ended.clear()
+        return again, closed
+
+    def test_how_long_one_is_kept(self):
+        used, left, closed = (True, False), (False, False), (False, True)
+        for idle, unsafe, fields, expected in (
+                (0.0, False, b"", used), (3.9, False, b"", used), (4.1, False, b"", closed),
+                (0.4, False, b"Keep-Alive: timeout=1\r\n", used),
+                (0.6, False, b"Keep-Alive: timeout=1\r\n", closed),
+                (0.6, False, b"Keep-Alive: max=9, timeout=5\r\n", used),
+                (0.1, False, b"Keep-Alive: timeout=0\r\n", closed),
+                (0.0, False, b"Connection: close\r\n", closed),
+                # What may run once only: neither a connection that may be closed, nor one so fresh that a
+                # second answer could still be on its way.
+                (0.01, True, b"", left), (0.5, True, b"", used), (1.2, True, b"", left),
+                (0.6, True, b"Keep-Alive: timeout=1\r\n", closed)):
+            with self.subTest(idle=idle, unsafe=unsafe, fields=fields):
+                self.assertEqual(self.used_again(idle, unsafe, fields=fields), expected)
+
+    def test_one_that_leaves_loses_its_unused_connections_and_gets_no_request(self):
+        connection = self.asked(answer())
+        self.outcome()
+        self.state(BackendState.DRAINING)
+        self.assertTrue(connection.transport.closed)
+        self.begin()
+        self.assertEqual((self.outcome()[0], self.loop.coming), (Status.CONNECT_FAILED, []))
+
+    def test_one_that_leaves_while_the_connection_comes_up_gets_no_request(self):
+        for state in (BackendState.DRAINING, BackendState.GONE):
+            self.state(BackendState.READY)
+            self.begin()
+            self.state(state)
+            connection = self.connect()
+            self.assertEqual((connection.transport.written, self.outcome()[0]), (b"", Status.CONNECT_FAILED))
+
+    def test_one_that_leaves_finishes_what_it_has(self):
+        self.begin()
+        connection = self.connect()
+        self.state(BackendState.GONE)
+        self.feed(connection, answer())
+        self.assertEqual((self.outcome(), connection.transport.closed), ((Status.OK, BODY), True))
+
+    def test_our_own_shortage_is_not_the_servers_fault(self):
+        for _ in range(4):
+            self.begin()
+            self.connect()
+        self.begin()
+        self.assertEqual(self.outcome()[0], Status.MOOT)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/folio/test_reader.py
@@ -0,0 +1,171 @@
+"""What of a client's request goes on to a server, and what is refused."""
+
+import json
+import random
+import unittest
+
+from fennelpoint.net import flow
+from fennelpoint.net.server import BadRequest
+from folio.catalogue.routing import Table
+from folio.catalogue.structs import Configuration
+from folio.circulation.reader import Asked, Reader
+
+
+def item(group, name, **spec):
+    return {"type": group, "meta": {"name": name}, "spec": spec}
+
+
+def table(*more, tenants=True):
+    def route(name, prefix, **spec):
+        return item("routes", name, vhost="desk.example", prefix=prefix, kind="safe", timeout="1500ms", svc="s",
+                    **spec)
+    objs = [route("r", "/loans/"), route("p", "/open/", public=True), item("svcs", "s"), *more]
+    if tenants:
+        objs.append(item("tenants", "town", apikeys=["key-1", "key-2"]))
+    return Table(Configuration.from_put(json.dumps({"ver": "00000001", "parent": "00000000", "objs": objs}).encode()))
+
+
+USUAL = {"Host": "desk.example", "X-Attempt-Id": "id-1", "Authorization": "Bearer key-1"}
+
+
+class Case(unittest.TestCase):
+    def setUp(self):
+        self.reader = Reader()
+        self.reader.table = table()
+
+    def read(self, url=b"/loans/7?copy=2", body=b"", method=b"GET", without=(), more=(), **fields):
+        """Fields are as given by the server of clients: names in lower case, in their order."""
+        told = {**USUAL, **{name.replace("_", "-"): value for name, value in fields.items()}}
+        pairs = [(name.lower().encode(), value.encode("latin-1")) for name, value in told.items()
+                 if name not in without]
+        return self.reader.read(method, url, pairs + list(more), body)
+
+    def sent(self, **told):
+        lines = self.read(**told).render(1.25, "i-9").partition(b"\r\n\r\n")[0].split(b"\r\n")
+        return lines[0], dict(line.lower().split(b": ", 1) for line in lines[1:])
+
+    def refused(self, status, **told):
+        with self.assertRaises(BadRequest) as raised:
+            self.read(**told)
+        self.assertEqual(raised.exception.status, status, str(raised.exception))
+        return raised.exception
+
+
+class PassedOn(Case):
+    def test_method_path_and_body_are_unchanged_and_what_we_tell_is_added(self):
+        asked = self.read(b"/loans/a%20b/?x=/../y#z", b"body", b"PUT", Content_Length="4", Accept="*/*")
+        self.assertEqual(asked.render(0.0304, "i-9"),
+                         b"PUT /loans/a%20b/?x=/../y#z HTTP/1.1\r\nhost: desk.example\r\nx-attempt-id: id-1\r\n"
+                         b"accept: */*\r\ncontent-length: 4\r\nX-Time-Left: 30\r\nX-Target-Instance: i-9\r\n"
+                         b"X-Tenant: town\r\n\r\nbody")
+        self.assertEqual((asked.txn, asked.tenant, asked.route.name, asked.upload), (b"id-1", "town", "r", None))
+
+    def test_what_only_we_may_say_is_not_taken_from_clients(self):
+        for url, tenant in ((b"/loans/7", b"town"), (b"/open/7", None)):
+            _, fields = self.sent(url=url, X_Tenant="other", X_Target_Instance="i-1", X_Time_Left="500")
+            self.assertEqual((fields.get(b"x-tenant"), fields[b"x-target-instance"], fields[b"x-time-left"],
+                              fields.get(b"authorization")), (tenant, b"i-9", b"1250", None))
+
+    def test_what_concerns_the_connection_ends_here(self):
+        _, fields = self.sent(Connection="Keep-Alive, X-Hop, HOST , x-attempt-id", Keep_Alive="timeout=3",
+                              X_Hop="1", Upgrade="h2c", TE="trailers", Proxy_Connection="close", Trailer="X",
+                              Expect="100-continue", X_Hopper="2")
+        self.assertEqual(sorted(fields), [b"host", b"x-attempt-id", b"x-hopper", b"x-target-instance",
+                                          b"x-tenant", b"x-time-left"])
+
+    def test_a_connection_field_takes_away_nothing_of_ours(self):
+        _, fields = self.sent(Connection="content-length, x-tenant, x-target-instance, x-time-left",
+                              body=b"four", method=b"POST", Content_Length="4")
+        self.assertEqual([fields.get(name) for name in (b"content-length", b"x-tenant", b"x-target-instance")],
+                         [b"4", b"town", b"i-9"])
+
+    def test_framing_is_kept(self):
+        def upload(length):
+            return flow.Upload(flow.Budget(128), length, lambda on: None, [b"some"])
+        length, chunked, none = (b"content-length", b"transfer-encoding"), {"Transfer_Encoding": "chunked"}, {}
+        for body, told, expected in ((b"", none, (None, None)), (b"", {"Content_Length": "0"}, (b"0", None)),
+                                     (b"four", {"Content_Length": "4"}, (b"4", None)),
+                                     (b"four", chunked, (b"4", None)), (b"", chunked, (b"0", None)),
+                                     (upload(99), {"Content_Length": "99"}, (b"99", None)),
+                                     (upload(None), chunked, (None, b"chunked"))):
+            _, fields = self.sent(body=body, method=b"POST", **told)
+            self.assertEqual(tuple(fields.get(name) for name in length), expected, (body, told))
+
+    def test_time_left_is_cut_by_the_route(self):
+        for told, left in (("1", 0.001), ("900", 0.9), ("600000", 1.5), (None, 1.5)):
+            fields = {} if told is None else {"X_Time_Left": told}
+            self.assertEqual(self.read(**fields).time_left, left)
+        self.assertIn(b"X-Time-Left: 1\r\n", self.read().render(-0.5, "i"))
+
+    def test_a_key_in_any_case_of_its_scheme(self):
+        for value in ("Bearer key-2", "bearer  key-2 ", "BEARER key-2"):
+            self.assertEqual(self.read(Authorization=value).tenant, "town")
+
+    def test_without_tenants_no_key_is_needed_and_none_goes_on(self):
+        self.reader.table = table(tenants=False)
+        _, fields = self.sent(Authorization="Bearer anything")
+        self.assertNotIn(b"authorization", fields)
+        self.assertNotIn(b"x-tenant", fields)
+
+
+class Refused(Case):
+    def test_statuses(self):
+        for status, told in ((404, {"url": b"/none/7"}), (404, {"url": b"/loans"}), (404, {"Host": "b.example"}),
+                             (404, {"url": b"*"}), (404, {"url": b"", "without": ("Authorization",)}),
+                             (401, {"without": ("Authorization",)}), (401, {"Authorization": "Bearer key-3"}),
+                             (401, {"Authorization": "Basic key-1"}), (401, {"Authorization": "key-1"}),
+                             (401, {"Authorization": "Bearer \xff"}),
+                             (400, {"without": ("Host",)}), (400, {"without": ("X-Attempt-Id",)}),
+                             (400, {"X_Attempt_Id": "two words"}), (400, {"X_Attempt_Id": "x" * 201}),
+                             (400, {"X_Attempt_Id": ""})):
+            with self.subTest(told):
+                self.refused(status, **told)
+        for left in ("0", "-1", "1.5", "600001", "", "1 ", "+5", "9" * 10, "\xb2"):
+            with self.subTest(left):
+                self.refused(400, X_Time_Left=left)
+
+    def test_what_counts_may_be_said_once_only(self):
+        for name in (b"host", b"x-attempt-id", b"x-time-left", b"authorization", b"content-length",
+                     b"transfer-encoding"):
+            self.refused(400, more=[(name, b"1"), (name, b"1")])
+        self.read(more=[(b"x-tenant", b"a"), (b"x-tenant", b"b"), (b"accept", b"a"), (b"accept", b"b")])
+
+    def test_before_the_first_configuration_clients_are_told_to_come_back(self):
+        for none in (None, Table(Configuration())):
+            self.reader.table = none
+            fault = self.refused(503, url=b"/none/")
+            self.assertIn(b"retry-after", dict(fault.headers))
+
+    def test_a_request_keeps_the_route_it_was_read_by(self):
+        asked = self.read()
+        self.reader.table = table(tenants=False)
+        self.assertEqual((asked.tenant, asked.route.prefix), ("town", b"/loans/"))
+
+    def test_any_fields_are_read_or_refused(self):
+        rng = random.Random(3)
+        names = [b"host", b"x-attempt-id", b"x-time-left", b"authorization", b"connection", b"content-length",
+                 b"transfer-encoding", b"x-tenant", b"x-target-instance", b"te", b"accept", b"", b"\xff"]
+        values = [b"desk.example", b"desk.example:80", b"id-1", b"Bearer key-1", b"500", b"", b"\xff\x00", b",,,",
+                  b"x-attempt-id, accept", b"9" * 300, b"Bearer " + bytes(range(128, 256)), b" ", b"[::1]:80"]
+        urls = [b"/loans/", b"/loans/x?y", b"/open/", b"", b"?", b"/" * 3000, b"\xff", b"http://x/loans/"]
+        read = 0
+        for _ in range(4000):
+            pairs = [(n.lower().encode(), v.encode()) for n, v in USUAL.items() if rng.random() < 0.9]
+            pairs += [(rng.choice(names), rng.choice(values)) for _ in range(rng.randint(0, 3))]
+            try:
+                asked = self.reader.read(rng.choice([b"GET", b"POST"]), rng.choice(urls), pairs, b"")
+            except BadRequest as fault:
+                self.assertIn(fault.status, (400, 401, 404, 503))
+                continue
+            self.assertIsInstance(asked, Asked)
+            sent = asked.render(0.5, "i-9").lower()
+            read += 1
+            self.assertNotIn(b"\r\nauthorization:", sent)
+            for name in (b"x-target-instance", b"x-attempt-id", b"x-time-left", b"host"):
+                self.assertEqual(sent.count(b"\r\n%b:" % name), 1, sent)
+            self.assertEqual(sent.count(b"\r\nx-tenant:"), int(bool(asked.tenant)))
+        self.assertGreater(read, 200)
+
+
+if __name__ == "__main__":
+    unittest.main()
