--- a/folio/boot.py
+++ b/folio/boot.py
@@ -106,7 +106,7 @@
         boot = msgspec.convert(_told(msgspec.json.decode(data)), Boot)
     except msgspec.ValidationError as error:
         raise BootError(str(error)) from None
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise BootError(f"not JSON: {error}") from None
     for seed in boot.seeds:
         address(seed, "seeds")
--- a/folio/calls.py
+++ b/folio/calls.py
@@ -20,16 +20,17 @@
 )
 _EXACT = {(method, path): name for method, path, name in TABLE if not path.endswith("/")}
 _NAMED = [(method, path, name) for method, path, name in TABLE if path.endswith("/")]
-_PATHS = {path for _, path, _ in TABLE}
+_EXACT_PATHS = {path for _, path in _EXACT}
 
 
 def find(method: str, path: str) -> tuple[str, str] | int:
     """(handler, name in the path) of a call, or the status that says why there is none."""
     if (name := _EXACT.get((method, path))) is not None:
         return name, ""
+    known = path in _EXACT_PATHS
     for each, prefix, name in _NAMED:
         if path.startswith(prefix) and len(path) > len(prefix) and "/" not in path[len(prefix):]:
+            known = True
             if method == each:
                 return name, path[len(prefix):]
-    known = path in _PATHS or any(path.startswith(p) and len(path) > len(p) for _, p, _ in _NAMED)
     return 405 if known else 404
--- a/folio/logs.py
+++ b/folio/logs.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+import re
 
 import picologging
 
@@ -10,6 +12,7 @@
 _log = picologging.getLogger("folio")
 _SAMPLE, _SPAN = 5, 1.0     # lines of one event within so many seconds; the rest is counted
 _seen: dict[str, list] = {}
+_PLAIN = re.compile(r'[!#-<>-\[\]-~]+')     # printable, without a blank and what pairs are told apart by
 
 
 def begin(role: str, host: str) -> None:
@@ -22,11 +25,15 @@
 
 def _text(value: object) -> str:
     text = f"{value:.4g}" if isinstance(value, float) else str(value)
-    return f'"{text}"' if " " in text or "=" in text else text
+    # Guards the lines: ids and errors have words of clients in them, which must not pass for ours.
+    return text if _PLAIN.fullmatch(text) else json.dumps(text)
 
 
 def say(event: str, **fields: object) -> None:
-    """Log an event. Within a second only the first few lines of one event are written."""
+    """Log an event; a value that is not plain is written as JSON writes it.
+
+    Within a second only the first few lines of one event are written.
+    """
     now = clock.monotonic()
     seen = _seen.get(event)
     if seen is None or now - seen[0] > _SPAN:
@@ -41,4 +48,4 @@
 def failure(event: str) -> None:
     """Log the exception at hand, with its trace in one line."""
     import traceback
-    say(event, trace=traceback.format_exc().replace("\n", " | ").replace('"', "'"))
+    say(event, trace=traceback.format_exc().replace("\n", " | "))
--- a/folio/stacks/clients.py
+++ b/folio/stacks/clients.py
@@ -120,7 +120,7 @@
     def _try(self, ask: Ask) -> None:
         now = self.world.now
         if now >= ask.ends - 0.005:
-            return self.cell.judge.over(ask)
+            return
         attempt = f"{self.rng.getrandbits(64):016x}"
         ask.tries += 1
         ask.attempts.append(attempt)
@@ -128,6 +128,8 @@
         if ask.tries == 1 and self.rng.random() < self.cell.deployment.clients.keep:
             while self.kept:
                 caller, machine, at = self.kept.pop()
+                if caller.strays:
+                    self.cell.judge.broken("MIXED", f"bytes without a request from {machine.name}")
                 if caller.usable and now - at < KEEP_MOST:
                     ending.machine, ending.caller = machine, caller
                     return ending.send()
@@ -143,7 +145,7 @@
         repeats = route.repeats * (2 if impatient else 1)
         may = status not in FINAL and (route.kind == "safe" or status in PROMISES or not read)
         if not may or ask.tries > repeats or now >= ask.ends:
-            return self.cell.judge.over(ask)
+            return
         wait = 0.02 + 0.05 * self.rng.random() * ask.tries
         told = answer.headers.get(b"retry-after") if answer is not None else None
         if told is not None and not impatient:
@@ -203,8 +205,6 @@
         if not self.over:
             self.over = True
             self.caller.leave()
-            self.zone.cell.judge.answered(self.ask, self.attempt, self.machine.name, None, given_up=True)
-            self.zone.cell.judge.over(self.ask)
 
     def _done(self, answer: wire.Answer | None) -> None:
         if self.over:
@@ -214,14 +214,16 @@
         zone, judge = self.zone, self.zone.cell.judge
         if self.caller.strays:
             judge.broken("MIXED", f"bytes without a request from {self.machine.name}")
-        judge.answered(self.ask, self.attempt, self.machine.name, answer)
+        transport = self.caller.transport
+        read = answer is not None or transport is None or not transport.refused
+        judge.answered(self.ask, self.attempt, self.machine.name, answer, read)
         if answer is not None and answer.keep and len(zone.kept) < KEPT:
             zone.kept.append((self.caller, self.machine, zone.world.now))
         else:
             self.caller.leave()
         if answer is not None and 200 <= answer.status < 300:
-            return judge.over(self.ask)
-        zone.failed(self.ask, answer, True)
+            return
+        zone.failed(self.ask, answer, read)
 
     def _fail(self, answer: wire.Answer | None, read: bool) -> None:
         if not self.over:
--- a/folio/stacks/day.py
+++ b/folio/stacks/day.py
@@ -210,9 +210,10 @@
 
 
 def parse(data: bytes) -> Day:
-    """The day in `data` (TOML). Raises DayError."""
+    """The day in `data`, TOML or JSON. Raises DayError."""
+    decode = msgspec.json.decode if data.lstrip().startswith(b"{") else msgspec.toml.decode
     try:
-        return check(msgspec.toml.decode(data, type=Day))
+        return check(decode(data, type=Day))
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise DayError(str(error)) from None
 
--- /dev/null
+++ b/folio/stacks/judge.py
@@ -0,0 +1,415 @@
+"""The rules as invariants of the emulator, and the figures of a day. It sees what clients and servers see."""
+
+from __future__ import annotations
+
+from bisect import bisect_left, bisect_right
+from collections import Counter, deque
+from math import inf
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from folio.stacks import wire
+from folio.stacks.servers import Job, Server, seal
+
+if TYPE_CHECKING:
+    from folio.stacks.cell import Cell
+    from folio.stacks.clients import Ask
+
+TOLD = 40           # breaks of rules that are kept with their text
+PROMISES = frozenset((429, 503, 408, 421))
+SPAN = 5.0          # s of the windows of which the worst is told
+
+
+class Sent:
+    """One try of a client, as servers and the client see it."""
+
+    __slots__ = ("ask", "machine", "path", "method", "body", "at", "ran", "arrived", "status", "broke_off")
+
+    def __init__(self, ask: Ask, machine: str, path: str, method: str, body: bytes, at: float) -> None:
+        self.ask, self.machine, self.path, self.method, self.body, self.at = ask, machine, path, method, body, at
+        self.ran = 0
+        self.arrived = 0
+        self.status: int | None = None
+        self.broke_off = False      # its server has
+
+
+class Version(msgspec.Struct):
+    """A configuration that was sent: what it allows, when it was sent and acknowledged."""
+
+    ver: int
+    parent: int
+    routes: dict[str, frozenset[str]]
+    keys: dict[str, str]
+    rates: dict[str, tuple[float, float]]
+    body: bytes
+    sent_at: float
+    acked_at: float | None = None
+    refused: int = 0
+
+
+class KindFigures(msgspec.Struct):
+    """Of one route."""
+
+    owed: float
+    earned: float
+    asks: int
+    served: int
+    refused: int
+    failed: int
+    p50: float
+    p99: float
+
+
+class Figures(msgspec.Struct):
+    """What a day came to. Times in s; `worth` and `share` are parts of what was owed or asked."""
+
+    name: str
+    seed: int
+    asks: int = 0
+    served: int = 0
+    share: float = 0.0
+    worth: float = 0.0
+    worst: float = 0.0
+    worst_kind: float = 0.0
+    refused: int = 0
+    failed: int = 0
+    p50: float = 0.0
+    p99: float = 0.0
+    kinds: dict[str, KindFigures] = {}
+    rules: dict[str, int] = {}
+    told: list[str] = []
+    acks: list[float] = []
+    unacked: int = 0
+    leave_acks: float = 0.0
+    budget: float = 0.0     # most that was used of the retry budget of a window
+    quota: float = 0.0      # most that was used of a quota with its excess
+    again: float = 0.0      # arrivals beyond the first, of all requests
+    connections: int = 0    # opened to servers
+    between_kb: float = 0.0
+    processor: float = 0.0  # s, of desks and registries
+    syncs: int = 0
+    ready: float = 0.0      # s until the majority of desks was ready; the day's end if never
+    events: dict[str, int] = {}
+    failures: list[str] = []
+    spans: list[float] = []     # worth of each span of SPAN s
+    fired: int = 0
+    took: float = 0.0       # s of the real clock
+
+
+def quantile(values: list[float], part: float) -> float:
+    """The value below which this part of the sorted values lies; 0 of none."""
+    return values[min(len(values) - 1, int(part * len(values)))] if values else 0.0
+
+
+class Judge:
+    """Is told of everything that clients, servers and operators see."""
+
+    def __init__(self, cell: Cell) -> None:
+        self.cell, self.world, self.bounds = cell, cell.world, cell.deployment.bounds
+        self.asks: list[Ask] = []
+        self.sents: dict[str, Sent] = {}
+        self.rules: Counter[str] = Counter()
+        self.told: list[str] = []
+        self.versions: list[Version] = []
+        self.troubles: list[tuple[float, float, str]] = []  # from, until, machine ("" for all)
+        self.runs: list[tuple[float, Sent, str, str]] = []  # at, try, service, desk
+        self.arrivals: list[tuple[float, str, bool]] = []   # at, service, beyond the first
+        self.firsts: list[tuple[float, str]] = []
+        self.ran_of: dict[str, list[tuple[float, float]]] = {}  # tenant: sent at, arrived at
+        self.drains: dict[str, tuple[float, str]] = {}
+        self.leaves: dict[str, float] = {}
+        self.leave_acks: list[float] = []
+        self.denied = 0
+        self.buckets: dict[str, tuple[float, float]] = {}
+        self.ready_at: dict[str, float] = {}
+        self.connections = 0
+
+    def broken(self, rule: str, text: str) -> None:
+        self.rules[rule] += 1
+        if len(self.told) < TOLD:
+            self.told.append(f"t={self.world.now - self.cell.begins:.3f} {rule}: {text}")
+
+    # What went wrong, and when
+
+    def trouble(self, machines: list[str], since: float, until: float) -> None:
+        """These machines (all, if none is named) are not in touch then."""
+        for name in machines or [""]:
+            self.troubles.append((since, until, name))
+
+    def in_touch(self, machine: str, since: float, until: float | None = None) -> bool:
+        """Whether the machine was in touch all the time, `contact` before included."""
+        until = since if until is None else until
+        begun = since - self.bounds.contact
+        return all(b > until or e < begun for b, e, name in self.troubles if name in ("", machine))
+
+    # Clients
+
+    def born(self, ask: Ask) -> None:
+        self.asks.append(ask)
+        tenant = ask.tenant
+        if tenant is not None and tenant.rate > 0.0 and not ask.route.public:
+            rate, burst = self.quota_of(tenant.name, tenant.rate, tenant.burst)
+            level, at = self.buckets.get(tenant.name, (burst, self.world.now))
+            level = min(burst, level + rate * (self.world.now - at))
+            ask.owed = level >= 1.0
+            self.buckets[tenant.name] = (level - ask.owed, self.world.now)
+
+    def quota_of(self, tenant: str, rate: float, burst: float) -> tuple[float, float]:
+        """The terms of the tenant in the newest acknowledged version."""
+        for version in reversed(self.versions):
+            if version.acked_at is not None and tenant in version.rates:
+                return version.rates[tenant]
+        return rate, burst
+
+    def sent(self, ask: Ask, attempt: str, machine: str, path: str, method: str, body: bytes) -> None:
+        self.sents[attempt] = Sent(ask, machine, path, method, body, self.world.now)
+        for service in ask.route.services():
+            self.firsts.append((self.world.now, service))
+
+    def answered(self, ask: Ask, attempt: str, machine: str, answer: wire.Answer | None,
+                 read: bool = True) -> None:
+        """A try has ended; with no answer where the connection closed. `read`: the ingress had its bytes."""
+        sent, now = self.sents[attempt], self.world.now
+        if answer is None:
+            sent.status = 0
+            if (read and not sent.broke_off and now < ask.ends - 0.02 and self.in_touch(machine, sent.at, now)
+                    and self.cell.life_of(machine, sent.at) == self.cell.life_of(machine, now)):
+                self.broken("LOST", f"{attempt} to {machine}: closed without an answer")
+            return
+        status = sent.status = answer.status
+        if 200 <= status < 300:
+            stamped = answer.headers.get(b"x-server-seal", b"").decode("latin-1")
+            server = stamped.partition(".")[0]
+            if stamped != seal(server, attempt, answer.body) or b"content-encoding" in answer.headers:
+                self.broken("MIXED", f"{attempt}: a success that is not the server's ({stamped!r})")
+            elif not sent.ran:
+                self.broken("MIXED", f"{attempt}: a success, though no server ran it")
+            else:
+                ask.answered_at = now
+                late = now - ask.born > ask.route.target
+                ask.earned = ask.route.late if late else ask.route.worth
+        elif status in PROMISES:
+            ask.refused = True
+            if ask.route.kind == "unsafe" and sent.ran:
+                self.broken("REFUSED", f"{attempt}: answered {status}, but it has run")
+        elif 300 <= status < 500 and status != 409 and self.allowed(ask, sent.at) and self.in_touch(machine, now):
+            self.denied += 1
+            if self.stale(sent, now, status):
+                self.broken("CONFIG", f"{attempt}: {machine} answers {status} by an older version")
+
+    def allowed(self, ask: Ask, at: float) -> bool:
+        """Whether every version that may be in force allows the request."""
+        return all(ask.route.name in v.routes and (ask.route.public or not v.keys or ask.key in v.keys)
+                   for v in self.in_force(at))
+
+    def in_force(self, at: float, within: float | None = None) -> list[Version]:
+        """Versions that a machine in touch may go by at a time."""
+        within = self.bounds.apply if within is None else within
+        first = 0
+        for place, version in enumerate(self.versions):
+            if version.acked_at is not None and version.acked_at + within < at:
+                first = place
+        return [v for v in self.versions[first:] if v.sent_at <= at and not v.refused]
+
+    def stale(self, sent: Sent, now: float, status: int) -> bool:
+        newest = [v for v in self.versions if v.acked_at is not None and v.acked_at + self.bounds.apply < sent.at]
+        if status not in (401, 403, 404) or not newest:
+            return False
+        return newest[-1] is self.versions[-1]
+
+    # Servers
+
+    def arrived(self, server: Server, job: Job) -> None:
+        sent, now = self.sents.get(job.attempt), self.world.now
+        if sent is None:
+            return self.broken("UNASKED", f"{server.id} has {job.attempt}, which nobody sent")
+        sent.arrived += 1
+        self.arrivals.append((now, server.service.name, sent.arrived > 1))
+        fields, ask = job.fields, sent.ask
+        if (job.method, job.path, job.body) != (sent.method, sent.path, sent.body):
+            self.broken("UNASKED", f"{job.attempt} was changed on its way")
+        if b"authorization" in fields:
+            self.broken("UNASKED", f"{job.attempt}: the key was passed on")
+        named = fields.get(b"x-tenant", b"").decode()
+        if ask.key and not any(v.keys.get(ask.key) == named for v in self.versions):
+            self.broken("UNASKED", f"{job.attempt}: tenant {named!r} does not hold the key")
+        told = self.drains.get(server.id)
+        desk = self.cell.machine_at(job.connection.transport.remote)
+        if told is not None and desk is not None and sent.at > told[0] and now > told[0] + self.bounds.drain \
+                and self.in_touch(desk, now) and self.in_touch(told[1], told[0]):
+            self.broken("DRAIN", f"{server.id} has {job.attempt} from {desk} "
+                                 f"{now - told[0]:.2f} s after its acknowledgement")
+
+    def ran(self, server: Server, job: Job) -> None:
+        sent, now = self.sents.get(job.attempt), self.world.now
+        if sent is None:
+            return
+        sent.ran += 1
+        ask, service = sent.ask, server.service.name
+        if ask.route.kind == "unsafe":
+            if sent.ran > 1:
+                self.broken("TWICE", f"{job.attempt} has run {sent.ran} times")
+            if sent.status in PROMISES:
+                self.broken("REFUSED", f"{job.attempt} runs after an answer {sent.status}")
+        if not any(service in v.routes.get(ask.route.name, ()) for v in self.versions):
+            self.broken("ROUTE", f"{job.attempt} of {ask.route.name} is run by {service}")
+        if ask.tenant is not None and ask.key:
+            self.ran_of.setdefault(ask.tenant.name, []).append((sent.at, now))
+        self.runs.append((now, sent, service, self.cell.machine_at(job.connection.transport.remote) or ""))
+
+    def broke_off(self, job: Job) -> None:
+        """A server gives no answer to what it has."""
+        if (sent := self.sents.get(job.attempt)) is not None:
+            sent.broke_off = True
+
+    def opened(self) -> None:
+        self.connections += 1
+
+    def leaving(self, server: Server) -> None:
+        self.leaves[server.id] = self.world.now
+
+    def drained(self, server: Server, at: str) -> None:
+        machine = self.cell.machine_at(at) or ""
+        self.drains[server.id] = (self.world.now, machine)
+        self.leave_acks.append(self.world.now - self.leaves[server.id])
+
+    def said_ready(self, machine: str) -> None:
+        self.ready_at.setdefault(machine, self.world.now)
+
+    # At the end
+
+    def finish(self, read_back: bytes | None) -> None:
+        """Look at what can only be seen over the whole day."""
+        self._check_config(read_back)
+        self._check_budget()
+        self._check_quotas()
+        if self.denied > 5 + len(self.sents) / 500:
+            self.broken("DENIED", f"{self.denied} proper requests got 3xx or 4xx")
+
+    def _check_config(self, read_back: bytes | None) -> None:
+        proven: dict[tuple[str, int], tuple[int, float]] = {}   # life of a desk: newest version seen, when
+        for now, sent, service, desk in self.runs:
+            if not desk:
+                continue
+            ask = sent.ask
+            by = [v.ver for v in self.versions if service in v.routes.get(ask.route.name, ())
+                  and (not ask.key or not v.keys or ask.key in v.keys) and not v.refused]
+            if not by:
+                self.broken("CONFIG", f"{ask.route.name} was run by {service}, with a key or route of no version")
+                continue
+            newest, oldest = max(by), min(by)
+            must = [v.ver for v in self.versions if v.acked_at is not None
+                    and v.acked_at + self.bounds.apply < sent.at]
+            if must and newest < must[-1] and self.in_touch(desk, sent.at, now):
+                self.broken("CONFIG", f"{desk} handles {ask.route.name} as only {newest:08x} allows, "
+                                      f"{sent.at - self._acked(must[-1]):.2f} s after {must[-1]:08x} was acknowledged")
+            life = (desk, self.cell.life_of(desk, sent.at))
+            seen = proven.get(life)
+            if seen is not None and sent.at > seen[1] + self.bounds.revert and newest < seen[0]:
+                self.broken("CONFIG", f"{desk} goes back from {seen[0]:08x} to {newest:08x}")
+            if seen is None or oldest > seen[0]:
+                proven[life] = (oldest, now)
+        acked = [v for v in self.versions if v.acked_at is not None]
+        parents = Counter(v.parent for v in acked)
+        for parent, count in parents.items():
+            if count > 1:
+                self.broken("CONFIG", f"{count} changes on top of {parent:08x} were acknowledged")
+        if acked:
+            if read_back is None:
+                self.broken("LOST", "the configuration can't be read at the end of the day")
+            else:
+                ver = int(msgspec.json.decode(read_back)["ver"], 16)
+                if ver < acked[-1].ver:
+                    self.broken("LOST", f"{ver:08x} is read at the end, {acked[-1].ver:08x} was acknowledged")
+                known = next((v for v in self.versions if v.ver == ver), None)
+                if known is None or known.refused:
+                    self.broken("CONFIG", f"{ver:08x} is read at the end, which was never taken")
+                elif self.cell.operator.differs(known, read_back):
+                    self.broken("CONFIG", f"{ver:08x} differs from what was sent under its number")
+        else:
+            self.broken("ACK", "no configuration was acknowledged")
+
+    def _acked(self, ver: int) -> float:
+        return next(v.acked_at for v in self.versions if v.ver == ver)
+
+    def _check_budget(self) -> None:
+        bounds, self.most_budget = self.bounds, 0.0
+        width = bounds.retry_window
+        for name in {service for _, service, _ in self.arrivals}:
+            firsts = [at for at, service in self.firsts if service == name]
+            beyond = [at for at, service, again in self.arrivals if service == name and again]
+            window: deque[float] = deque()
+            for at in beyond:
+                window.append(at)
+                while window[0] <= at - width:
+                    window.popleft()
+                begins = window[0]
+                asked = max(bisect_right(firsts, begins + width - back) - bisect_left(firsts, begins - back)
+                            for back in (0.0, width, width / 2))
+                used = len(window) / (bounds.retry_ratio * asked + bounds.retry_slack)
+                self.most_budget = max(self.most_budget, used)
+            if self.most_budget > 1.0:
+                self.broken("BUDGET", f"{name}: {self.most_budget:.2f} of the budget of a window was used")
+
+    def _check_quotas(self) -> None:
+        bounds, self.most_quota = self.bounds, 0.0
+        width = bounds.quota_window
+        for tenant in self.cell.deployment.tenants:
+            if not tenant.rate:
+                continue
+            times = sorted(self.ran_of.get(tenant.name, ()))
+            terms = [v.rates[tenant.name] for v in self.versions if tenant.name in v.rates]
+            rate = max([rate for rate, _ in terms] or [tenant.rate])
+            burst = max([burst for _, burst in terms] or [tenant.burst])
+            most = (rate * width + burst) * (1.0 + bounds.quota_excess) + bounds.quota_slack
+            # Those that were both sent and arrived within the window.
+            for place, (begins, _) in enumerate(times):
+                end = bisect_right(times, (begins + width, inf))
+                if end - place > most * self.most_quota:
+                    count = sum(arrived <= begins + width for _, arrived in times[place:end])
+                    self.most_quota = max(self.most_quota, count / most)
+            if self.most_quota > 1.0:
+                self.broken("QUOTA", f"{tenant.name}: {self.most_quota:.2f} of its quota ran in a window")
+
+    def figures(self) -> Figures:
+        """The day in numbers. Requests beyond a tenant's quota are not owed."""
+        told = Figures(self.cell.day.name, self.world.seed)
+        owed = [ask for ask in self.asks if ask.owed]
+        told.asks, told.served = len(owed), sum(ask.answered_at is not None for ask in owed)
+        latencies = sorted(ask.answered_at - ask.born for ask in owed if ask.answered_at is not None)
+        told.p50, told.p99 = quantile(latencies, 0.5), quantile(latencies, 0.99)
+        worth = sum(ask.route.worth for ask in owed)
+        told.share = told.served / len(owed) if owed else 0.0
+        told.worth = sum(ask.earned for ask in owed) / worth if worth else 0.0
+        told.refused = sum(ask.refused and ask.answered_at is None for ask in owed)
+        told.failed = len(owed) - told.served - told.refused
+        for route in self.cell.deployment.routes:
+            asks = [ask for ask in owed if ask.route is route]
+            if not asks:
+                continue
+            times = sorted(ask.answered_at - ask.born for ask in asks if ask.answered_at is not None)
+            refused = sum(ask.refused and ask.answered_at is None for ask in asks)
+            told.kinds[route.name] = KindFigures(
+                len(asks) * route.worth, sum(ask.earned for ask in asks), len(asks), len(times), refused,
+                len(asks) - len(times) - refused, quantile(times, 0.5), quantile(times, 0.99))
+        told.worst_kind = min((k.earned / k.owed for k in told.kinds.values() if k.owed), default=0.0)
+        spans: dict[int, list[float]] = {}
+        for ask in owed:
+            pair = spans.setdefault(int((ask.born - self.cell.begins) / SPAN), [0.0, 0.0])
+            pair[0] += ask.earned
+            pair[1] += ask.route.worth
+        told.spans = [spans[n][0] / spans[n][1] if n in spans else 1.0 for n in range(max(spans, default=-1) + 1)]
+        told.worst = min(told.spans, default=0.0)
+        told.rules, told.told = dict(sorted(self.rules.items())), self.told
+        told.acks = [v.acked_at - v.sent_at for v in self.versions if v.acked_at is not None]
+        told.unacked = sum(v.acked_at is None and not v.refused for v in self.versions)
+        told.leave_acks = max(self.leave_acks, default=0.0)
+        told.budget, told.quota = self.most_budget, self.most_quota
+        told.again = sum(again for *_, again in self.arrivals) / max(1, len(self.sents))
+        told.connections = self.connections
+        ready = sorted(self.ready_at.values())
+        half = len(self.cell.machines) // 2
+        told.ready = ready[half] if len(ready) > half else inf
+        told.ready = min(told.ready, self.world.now)
+        return told
--- a/folio/stacks/network.py
+++ b/folio/stacks/network.py
@@ -75,6 +75,7 @@
         self.wrote_end = False
         self.lost = False           # connection_lost is due or was called
         self.resets = False
+        self.refused = False        # the other end was closed before it could read what was sent last
         self.paused = False
         self.unread: list[bytes] = []
         self.out = 0                # bytes sent that the peer has not read
@@ -387,6 +388,7 @@
     def answer_reset(self, gone: Transport) -> None:
         """Data has come for an end that is no more: the sender is told, if its way back is free."""
         sender, world = gone.peer, self.world
+        sender.refused = True
         if sender.process.alive and not sender.lost and not self.blocked(gone.process.ip, sender.process.ip):
             world.at(world.now + self.lag(gone.process.ip, sender.process.ip), sender.process,
                      sender.arrive, ("reset", b""))
--- /dev/null
+++ b/folio/stacks/operator.py
@@ -0,0 +1,168 @@
+"""The operator: sends configurations until a clear answer comes, and reads back what is in force."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from folio.stacks import wire
+from folio.stacks.judge import Version
+
+if TYPE_CHECKING:
+    from folio.stacks.cell import Cell
+
+SILENCE = 1.0           # s without an answer after which another registry is called
+PER_BYTE = 1 / 500_000  # s more for each byte of a body
+PAUSE, PAUSE_MOST = 0.1, 1.0    # s
+FINAL = frozenset((400, 409, 412, 413, 422))
+
+
+class Operator:
+    """Keeps the items of the configuration and changes them one version after the other."""
+
+    def __init__(self, cell: Cell) -> None:
+        self.cell, self.world = cell, cell.world
+        self.rng = self.world.random("operator")
+        self.process = cell.network.process("operator", "10.251.0.1")
+        self.items: dict[tuple[str, str], dict[str, Any]] = {}
+        self.ver = 0            # the newest that was acknowledged
+        self.last = 0           # the newest number that was used
+        self.queue: list[Callable[[], None]] = []
+        self.busy = False
+        self.read: bytes | None = None
+
+    # What there is
+
+    def first(self) -> None:
+        """The first configuration, from the deployment."""
+        deployment = self.cell.deployment
+        for route in deployment.routes:
+            spec = {"vhost": self.cell.host, "prefix": f"/{route.name}/", "kind": route.kind,
+                    "timeout": f"{int(route.timeout * 1000)}ms", "target_time": f"{int(route.target * 1000)}ms",
+                    "prio": route.prio, "tries": route.tries, "public": route.public}
+            if route.split:
+                spec["split"] = [{"svc": name, "wt": wt} for name, wt in route.split.items()]
+            else:
+                spec["svc"] = route.svc
+            self._set("routes", route.name, spec)
+        for service in deployment.services:
+            self._set("svcs", service.name, {"hc_path": "/healthz", "maxconn": service.maxconn, "proto": "h1",
+                                             "tls": False})
+        for tenant in deployment.tenants:
+            self._set("tenants", tenant.name, {"apikeys": [self.cell.keys[tenant.name]], "prio": tenant.prio,
+                                               "rate_per_s": tenant.rate, "burst": tenant.burst})
+        self.items["limits", ""] = {"type": "limits", "meta": {}, "spec": {
+            "hdr_bytes": 16384, "body_max_bytes": 1048576, "hdr": "3000ms", "idle": "15000ms"}}
+        items = dict(self.items)
+        self._do(lambda: self._send("PUT", items, {}, {}))
+
+    def _set(self, kind: str, name: str, spec: dict[str, Any]) -> None:
+        self.items[kind, name] = {"type": kind, "meta": {"name": name}, "spec": spec}
+
+    # Changes
+
+    def change(self, upsert: dict[tuple[str, str], dict[str, Any]], remove: list[tuple[str, str]] = (),
+               race: bool = False) -> None:
+        """Change some items; with `race` another operator sends one on the same version in the same moment."""
+        items = {(kind, name): {"type": kind, "meta": {"name": name}, "spec": spec}
+                 for (kind, name), spec in upsert.items()}
+        self._do(lambda: self._send("PATCH", items, list(remove), {}, race))
+
+    def spec(self, kind: str, name: str) -> dict[str, Any]:
+        """A copy of an item as it is in force, for changing."""
+        return msgspec.json.decode(msgspec.json.encode(self.items[kind, name]["spec"]))
+
+    def _do(self, act: Callable[[], None]) -> None:
+        self.queue.append(act)
+        self._next()
+
+    def _next(self) -> None:
+        if self.queue and not self.busy:
+            self.busy = True
+            self.queue.pop(0)()
+
+    def _send(self, method: str, upsert: dict, remove: list | dict, _: dict, race: bool = False) -> None:
+        rivals = 2 if race else 1
+        parent = self.ver
+        after = dict(self.items)
+        for key in remove:
+            after.pop(key, None)
+        after.update(upsert)
+        left = rivals
+        for rival in range(rivals):
+            self.last += 1 + self.rng.randrange(3)
+            told: dict[str, Any] = {"ver": f"{self.last:08x}", "parent": f"{parent:08x}"}
+            if method == "PUT":
+                told["objs"] = list(after.values())
+            else:
+                told["upsert"] = {"objs": list(upsert.values())}
+                gone: dict[str, list[str]] = {}
+                for kind, name in remove:
+                    gone.setdefault(kind, []).append(name)
+                told["remove"] = gone
+            body = msgspec.json.encode(told)
+            version = Version(self.last, parent, *_meaning(after), body, self.world.now)
+            self.cell.judge.versions.append(version)
+
+            def done(status: int, version: Version = version) -> None:
+                nonlocal left
+                left -= 1
+                if status == 200:
+                    version.acked_at = self.world.now
+                    if version.ver > self.ver:
+                        self.ver, self.items = version.ver, after
+                        self.cell.acknowledged(version)
+                else:
+                    version.refused = status
+                if not left:
+                    self.busy = False
+                    self._next()
+
+            self._call(method, body, done, 0, "")
+
+    def _call(self, method: str, body: bytes, done: Callable[[int], None], tries: int, avoid: str) -> None:
+        """Send the body unchanged until a clear answer comes."""
+        at = self.cell.a_registry(self.rng, avoid)
+
+        def answered(answer: wire.Answer | None) -> None:
+            if answer is not None and (answer.status == 200 or answer.status in FINAL):
+                return done(answer.status)
+            pause = min(PAUSE_MOST, PAUSE * 1.5 ** tries)
+            self.process.loop.call_later(pause, self._call, method, body, done, tries + 1, at)
+
+        data = wire.request(method, at, "/-/config", [("Content-Type", "application/json")], body)
+        wire.fetch(self.process, at, data, SILENCE + len(body) * PER_BYTE, answered)
+
+    # Reading back
+
+    def read_back(self) -> None:
+        """Ask for the configuration until it comes; the last answer counts."""
+        at = self.cell.a_registry(self.rng)
+
+        def answered(answer: wire.Answer | None) -> None:
+            if answer is not None and answer.status == 200:
+                self.read = answer.body
+            self.process.loop.call_later(0.3, self.read_back)
+
+        wire.fetch(self.process, at, wire.request("GET", at, "/-/config", []), SILENCE, answered)
+
+    def differs(self, version: Version, body: bytes) -> bool:
+        """Whether the configuration in `body` says other than what was sent under its number."""
+        told = msgspec.json.decode(body)
+        items = {(one["type"], one["meta"].get("name", "")): one for one in told["objs"]}
+        return _meaning(items) != (version.routes, version.keys, version.rates)
+
+
+def _meaning(items: dict[tuple[str, str], dict[str, Any]]) -> tuple[dict, dict, dict]:
+    routes, keys, rates = {}, {}, {}
+    for (kind, name), item in items.items():
+        spec = item["spec"]
+        if kind == "routes":
+            split = spec.get("split")
+            routes[name] = frozenset(s["svc"] for s in split if s["wt"] > 0) if split else frozenset([spec["svc"]])
+        elif kind == "tenants":
+            keys.update(dict.fromkeys(spec["apikeys"], name))
+            rates[name] = (spec.get("rate_per_s") or 0.0, spec.get("burst") or 0.0)
+    return routes, keys, rates
--- a/folio/stacks/servers.py
+++ b/folio/stacks/servers.py
@@ -62,6 +62,7 @@
         self.transport = transport
         self.used_at = self.server.world.now
         server = self.server
+        server.cell.judge.opened()
         if not server.up or len(server.connections) >= server.service.maxconn:
             transport.resets = True
             return transport.abort()
@@ -170,10 +171,12 @@
             self.queue.append(job)
         elif self.service.full == "reset":
             connection.job = None
+            self.cell.judge.broke_off(job)
             connection.transport.resets = True
             connection.transport.abort()
         elif self.service.full == "silent":
             connection.job, connection.mute = None, True
+            self.cell.judge.broke_off(job)
         else:
             self._refuse(job)
 
@@ -206,6 +209,8 @@
             connection.job = None
             fields = [("X-Attempt-Id", job.attempt), *self._load()]
             draw = self.rng.random()
+            if draw < self.lose + self.garble:
+                self.cell.judge.broke_off(job)
             if draw < self.lose:
                 connection.transport.abort()
             elif draw < self.lose + self.garble:
@@ -310,6 +315,8 @@
         """The process ends; nothing more is said."""
         if self.up:
             self.up = False
+            for job in [*self.running, *self.queue]:
+                self.cell.judge.broke_off(job)
             self.cell.network.ended(self.process)
             self.running.clear()
             self.queue.clear()
--- a/folio/transport/http.py
+++ b/folio/transport/http.py
@@ -82,15 +82,22 @@
         self.size += len(data)
         if self.size > self.most:
             return self._fault(413, "the call is too large")
+        try:
+            while data:
+                data = self._feed(data)
+        except httptools.HttpParserError:
+            self._fault(400, "the call can't be read")
+
+    def _feed(self, data: bytes) -> bytes:
+        """Read, and give back what is left."""
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade as upgrade:
             # Only HTTP is spoken here, and whoever offers more has to do with that.
-            if not self.deaf and self.parser is not None:
+            if not self.deaf:
                 self.parser = httptools.HttpRequestParser(self)
-                self.data_received(data[upgrade.args[0]:])
-        except httptools.HttpParserError:
-            self._fault(400, "the call can't be read")
+                return data[upgrade.args[0]:]
+        return b""
 
     def _fault(self, status: int, text: str) -> None:
         if not self.deaf:
--- a/tests/folio/test_reader.py
+++ b/tests/folio/test_reader.py
@@ -2,10 +2,12 @@
 
 import json
 import random
+import re
 import unittest
+from types import SimpleNamespace
 
 from fennelpoint.net import flow
-from fennelpoint.net.server import BadRequest
+from fennelpoint.net.server import BadRequest, ClientConnection, Server
 from folio.catalogue.routing import Table
 from folio.catalogue.structs import Configuration
 from folio.circulation.reader import Asked, Reader
@@ -167,5 +169,70 @@
         self.assertGreater(read, 200)
 
 
+class Transport:
+    def __init__(self):
+        self.written, self.closed = b"", False
+
+    def write(self, data):
+        self.written += data
+
+    def set_write_buffer_limits(self, high):
+        pass
+
+    def can_write_eof(self):
+        return False
+
+    def resume_reading(self):
+        pass
+
+    pause_reading = resume_reading
+
+
+class OnOneConnection(Case):
+    """Bytes of clients through the server of clients to the reader; each request is answered at once."""
+
+    def sent_on(self, *pieces):
+        """Bodies of what was admitted, and the statuses that the client got."""
+        admitted = []
+
+        def admit(client, asked):
+            admitted.append(asked.body)
+            client.answered(200, [], b"")
+            return len(admitted)
+        host = SimpleNamespace(backends=SimpleNamespace(budget=flow.Budget(128)), admit=admit,
+                               is_open=lambda txn: False)
+        server = Server(SimpleNamespace(call_soon=lambda call: soon.append(call)), host, 100, self.reader)
+        soon = []
+        client = ClientConnection(server)
+        client.connection_made(Transport())
+        for piece in pieces:
+            client.data_received(piece)
+            while soon:
+                soon.pop(0)()
+        return admitted, [int(s) for s in re.findall(rb"HTTP/1\.1 (\d+)", client.transport.written)]
+
+    def test_no_request_is_hidden_in_another(self):
+        head = b"PUT /loans/7 HTTP/1.1\r\nHost: desk.example\r\nAuthorization: Bearer key-1\r\nX-Attempt-Id: 1\r\n"
+        hidden = b"GET /loans/8 HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: 2\r\n\r\n"
+        size, wish = b"Content-Length: %d\r\n" % len(hidden), b"Connection: Upgrade\r\nUpgrade: h2c\r\n"
+        chunked = b"Transfer-Encoding: chunked\r\n"
+        in_chunks = b"%x\r\n%b\r\n0\r\n\r\n" % (len(hidden), hidden)
+        for data, admitted, statuses in (
+                (head + size + b"\r\n" + hidden, [hidden], [200]),
+                (head + chunked + b"\r\n" + in_chunks, [hidden], [200]),
+                (head + b"\r\n" + head + b"\r\n", [b"", b""], [200, 200]),
+                (head + wish + b"\r\n" + head + b"\r\n", [b"", b""], [200, 200]),
+                (head + size + wish + b"\r\n" + hidden, [], [400]),
+                (head + chunked + wish + b"\r\n" + in_chunks, [], [400]),
+                (head + size + chunked + b"\r\n" + in_chunks, [], [400]),
+                (head + size + size + b"\r\n" + hidden, [], [400]),
+                (head + b"Transfer-Encoding: gzip, chunked\r\n\r\n" + in_chunks, [], [400]),
+                (head + b"Transfer-Encoding : chunked\r\n\r\n" + in_chunks, [], [400]),
+                (head + b"Content-Length: +5\r\n\r\n" + hidden, [], [400])):
+            for cut in (len(data), 60):
+                with self.subTest(data[len(head):len(head) + 60], cut=cut):
+                    self.assertEqual(self.sent_on(data[:cut], data[cut:]), (admitted, statuses))
+
+
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/tests/folio/test_registry.py
@@ -0,0 +1,321 @@
+"""Three registries and a desk's session over links in memory, on a virtual clock.
+
+Timelines have a column for what befalls the system (``cut NAME``: from the other registries and the desk, ``heal``,
+``kill NAME``, ``start NAME``, ``disk NAME S``: it hangs for so long, ``wipe NAME``), one for each registry and one
+for the desk. A registry's cells hold calls: ``put VER PARENT``, ``bad VER PARENT``, ``get``,
+``beat ID PHASE SEQ``, ``delete ID``; and the answer that its newest call has by now: ``?STATUS [VER]`` or
+``?none``. The desk's cells say what it follows: ``?ver N``, ``?usable ID ...`` (all of them), ``?at NAME``,
+``?ready``.
+"""
+
+import json
+import unittest
+from random import Random
+
+from folio import boot as boots
+from folio.catalogue.structs import Configuration
+from folio.circulation.follower import Follower
+from folio.stacks import wire
+from folio.stacks.cell import MemoryRegistry
+from folio.stacks.disk import Platter
+from folio.stacks.guise import worn
+from folio.stacks.loop import World
+from folio.stacks.network import Network, Trouble
+
+IPS = {"r1": "10.1.0.5", "r2": "10.2.0.5", "r3": "10.3.0.5", "desk": "10.1.0.9"}
+REGISTRIES = ("r1", "r2", "r3")
+CTL = {name: f"{IPS[name]}:8407" for name in REGISTRIES}
+COST = 0.0002       # s of the processor for each callback
+
+
+def config(ver, parent, prefix="/loans/"):
+    return json.dumps({"ver": f"{ver:08x}", "parent": f"{parent:08x}", "objs": [
+        {"type": "routes", "meta": {"name": "r"}, "spec": {
+            "vhost": "desk.example", "prefix": prefix, "kind": "safe", "timeout": "1500ms", "svc": "s"}},
+        {"type": "svcs", "meta": {"name": "s"}, "spec": {"hc_path": "/healthz"}}]}).encode()
+
+
+def beat(ident, phase, seq):
+    return json.dumps({"addr": f"10.9.0.{ident[2:]}:80", "summary": {"svc": "s", "ver": "v", "az": "z", "slots": 4},
+                       "stat": {"phase": phase, "seq": int(seq), "warmup_time": "0ms"}}).encode()
+
+
+class System:
+    def __init__(self, seed):
+        self.world = World(seed)
+        self.network = Network(self.world, lambda a, b: 0.002, lambda ip: ip.rsplit(".", 2)[0])
+        self.caller = self.network.process("caller", "10.250.0.1")
+        self.platters = {name: Platter(self.world.random(name)) for name in REGISTRIES}
+        self.processes, self.registries, self.answers, self.asked, self.lives = {}, {}, {}, {}, {}
+        for name in REGISTRIES:
+            self.start(name, True)
+        process = self.network.process("desk", IPS["desk"], COST)
+        self.table, self.servers = None, {}
+        self.follower = Follower(process.loop, self.boot("desk", False), Random(1), self.on_table, self.on_servers,
+                                 lambda ids: None, dict)
+        process.loop.call_soon(self.follower.start)
+
+    def boot(self, name, bootstrap):
+        return boots.Boot(hostname=name, ip=IPS[name], az="z", port_range=(7660, 7675), seeds=list(CTL.values()),
+                          bind=boots.Bind(ctl=CTL.get(name, "")), bootstrap=bootstrap, voting=name in CTL,
+                          datadir="memory" if name in CTL else "")
+
+    def start(self, name, bootstrap=False):
+        life = self.lives[name] = self.lives.get(name, 0) + 1
+        process = self.processes[name] = self.network.process(f"{name}/{life}", IPS[name], COST,
+                                                              offset=100.0 * life + 7.0 * ord(name[1]))
+
+        def begin():
+            registry = self.registries[name] = MemoryRegistry(process, self.boot(name, bootstrap),
+                                                              self.platters[name], Random(life))
+            process.loop.create_task(registry.start())
+        process.loop.call_soon(begin)
+
+    def kill(self, name):
+        self.network.ended(self.processes[name])
+        self.registries[name].disk.cut_short()
+
+    def cut(self, name):
+        others = frozenset(ip for other, ip in IPS.items() if other != name)
+        self.network.troubles.append(Trouble(frozenset([IPS[name]]), others, cut=True))
+
+    def heal(self):
+        self.network.troubles.clear()
+        self.network.look()
+
+    def disk(self, name, span):
+        self.platters[name].hangs_until = self.world.now + float(span)
+
+    def wipe(self, name):
+        self.platters[name].wipe()
+
+    def on_table(self, table):
+        self.table = table
+
+    def on_servers(self, records, whole):
+        if whole:
+            self.servers.clear()
+        self.servers.update((record.id, record) for record in records)
+
+    def call(self, name, method, path, body=b""):
+        self.asked[name] = number = self.asked.get(name, 0) + 1
+        self.answers[name] = None
+
+        def answered(answer):
+            if self.asked[name] == number:
+                self.answers[name] = answer
+        wire.fetch(self.caller, CTL[name], wire.request(method, CTL[name], path, [], body), 2.0, answered)
+
+
+class Case(unittest.TestCase):
+    def play(self, text, seed=1):
+        lines = [[cell.strip() for cell in line.split("|")] for line in text.splitlines() if line.strip()]
+        names = lines[0][1:]
+        system = System(seed)
+        with worn(system.world, lambda event, **fields: self.assertFalse(event.endswith("failed"), fields)):
+            for time, *cells in lines[1:]:
+                system.world.run(float(time))
+                line = " | ".join([time, *cells])
+                for name, cell in zip(names, cells, strict=False):
+                    for step in filter(None, (part.strip() for part in cell.split(";"))):
+                        verb, *args = step.split()
+                        if name == "events":
+                            getattr(system, verb)(*args)
+                        elif name == "desk":
+                            self.follows(system, verb, args, line)
+                        elif verb.startswith("?"):
+                            self.answered(system.answers[name], verb[1:], args, line)
+                        else:
+                            self.call(system, name, verb, args)
+            self.assertEqual(system.world.failures, [])
+        return system
+
+    def call(self, system, name, verb, args):
+        if verb in ("put", "bad"):
+            ver, parent = map(int, args)
+            prefix = f"/loans/{ver}/" if verb == "put" else "no-slash"
+            system.call(name, "PUT", "/-/config", config(ver, parent, prefix))
+        elif verb == "get":
+            system.call(name, "GET", "/-/config")
+        elif verb == "beat":
+            system.call(name, "PUT", f"/-/backends/{args[0]}", beat(*args))
+        elif verb == "delete":
+            system.call(name, "DELETE", f"/-/backends/{args[0]}")
+        else:
+            raise ValueError(verb)
+
+    def answered(self, answer, status, args, line):
+        self.assertEqual("none" if answer is None else str(answer.status), status, line)
+        if args:
+            self.assertEqual(Configuration.from_put(answer.body).ver, int(args[0]), line)
+
+    def follows(self, system, verb, args, line):
+        if verb == "?ver":
+            self.assertEqual(system.table.ver if system.table else 0, int(args[0]), line)
+        elif verb == "?usable":
+            self.assertEqual(sorted(r.id for r in system.servers.values() if r.usable), args, line)
+        elif verb == "?at":
+            self.assertEqual(system.follower.at, CTL[args[0]], line)
+        elif verb == "?ready":
+            self.assertTrue(system.follower.fresh, line)
+        else:
+            raise ValueError(verb)
+
+
+class Configurations(Case):
+    def test_what_is_taken_at_one_is_read_at_the_others_and_followed(self):
+        self.play("""
+            time | events | r1        | r2       | r3         | desk
+            2    |        | put 1 0   |          |            | ?ver 0
+            2.3  |        | ?200; get | get      | get        | ?ver 1; ?ready
+            2.6  |        | ?200 1    | ?200 1   | ?200 1     |
+            3    |        |           |          | put 4 1    |
+            3.1  |        |           |          | ?200       |
+            3.3  |        | get       | get      | put 4 1    | ?ver 4
+            3.6  |        | ?200 4    | ?200 4   | ?200       |
+            """)
+
+    def test_of_two_on_the_same_version_one_wins(self):
+        for seed in range(5):
+            system = self.play("""
+                time | events | r1        | r2        | r3         | desk
+                2    |        | put 1 0   |           |            |
+                3    |        | put 2 1   | put 3 1   |            |
+                """, seed)
+            with worn(system.world, lambda event, **fields: None):
+                system.world.run(4.0)
+            self.assertEqual(sorted(system.answers[name].status for name in ("r1", "r2")), [200, 412])
+            winner = 2 if system.answers["r1"].status == 200 else 3
+            self.assertEqual(system.table.ver, winner)
+
+    def test_what_is_refused_is_nowhere_in_force(self):
+        self.play("""
+            time | events | r1        | r2        | r3         | desk
+            2    |        | put 5 0   |           |            |
+            3    |        | bad 6 5   | put 5 5   | put 9 0    |
+            3.5  |        | ?400      | ?400      | ?412       | ?ver 5
+            3.6  |        | get       | get       | get        |
+            4    |        | ?200 5    | ?200 5    | ?200 5     |
+            """)
+
+    def test_a_minority_neither_takes_nor_reads_and_catches_up(self):
+        self.play("""
+            time | events | r1        | r2        | r3         | desk
+            2    |        | put 1 0   |           |            |
+            3    | cut r3 |           |           |            |
+            3.1  |        | put 2 1   |           | put 3 1    |
+            3.5  |        | ?200      | get       |            | ?ver 2
+            4.2  |        |           | ?200 2    | ?503       |
+            4.3  |        |           |           | get        |
+            5.3  |        |           |           | ?503       |
+            6    | heal   |           |           |            |
+            9    |        |           |           | get        | ?ver 2
+            9.5  |        |           |           | ?200 2     | ?ver 2
+            """)
+
+    def test_what_was_acknowledged_outlives_the_end_of_all(self):
+        self.play("""
+            time | events                    | r1      | r2      | r3      | desk
+            2    |                           | put 1 0 |         |         |
+            2.4  | kill r1; kill r2; kill r3 | ?200    |         |         |
+            3    | start r1; start r2; start r3 |      |         |         | ?ver 1
+            6    |                           | get     | get     | put 2 1 |
+            6.5  |                           | ?200 1  |         | ?200    | ?ver 2
+            """)
+
+    def test_one_that_lost_its_disk_votes_again_under_a_new_id(self):
+        system = self.play("""
+            time | events            | r1      | r2      | r3      | desk
+            2    |                   | put 1 0 |         |         |
+            3    | kill r2; wipe r2  |         |         |         |
+            3.5  | start r2          |         |         |         |
+            10   | kill r1           |         | get     |         |
+            11   |                   |         | ?200 1  | put 2 1 |
+            12   |                   |         |         | ?200    | ?ver 2
+            """)
+        self.assertEqual(len(system.registries["r2"].node.voters), 3)
+
+    def test_a_hanging_disk_holds_up_neither_the_others_nor_beats(self):
+        self.play("""
+            time | events    | r1      | r2             | r3      | desk
+            2    |           | put 1 0 |                |         |
+            3    | disk r2 4 |         |                |         |
+            3.1  |           | put 2 1 | beat i-1 up 1  |         |
+            3.8  |           | ?200    | ?200           |         | ?ver 2; ?usable i-1
+            """)
+
+
+class Reports(Case):
+    def test_a_desk_hears_of_servers_that_report_anywhere(self):
+        self.play("""
+            time | events | r1             | r2                   | r3             | desk
+            2    |        | beat i-1 up 1  | beat i-2 up 1        | beat i-3 up 1  | ?usable
+            2.2  |        | ?200           | ?200                 | ?200           | ?usable i-1 i-2 i-3
+            2.5  |        | beat i-2 up 3  | beat i-1 draining 4  | delete i-3     |
+            2.7  |        | ?200           | ?200                 | ?200           | ?usable i-2
+            2.8  |        | beat i-1 up 3  |                      | beat i-3 up 9  |
+            3    |        | ?200           |                      | ?200           | ?usable i-2
+            """)
+
+    def test_a_cut_off_registry_does_not_acknowledge_that_a_server_leaves(self):
+        self.play("""
+            time | events | r1            | r2             | r3                  | desk
+            2    |        | beat i-1 up 1 | beat i-2 up 1  |                     |
+            3    | cut r3 |               |                |                     | ?usable i-1 i-2
+            3.05 |        |               |                | beat i-1 draining 2 |
+            3.1  |        |               |                | ?none               |
+            4    |        |               |                | ?503                | ?usable i-1 i-2
+            4.1  |        |               |                | delete i-2          |
+            4.2  |        |               |                | ?503                |
+            4.3  |        |               |                | beat i-3 up 1       |
+            4.4  |        | beat i-1 draining 3 |          | ?200                |
+            4.6  |        | ?200          |                |                     | ?usable i-2
+            6    | heal   |               |                |                     |
+            9    |        |               |                |                     | ?usable i-3
+            """)
+
+    def test_an_acknowledged_end_is_known_after_any_one_is_lost(self):
+        for lost in REGISTRIES:
+            self.play(f"""
+                time | events      | r1                  | r2            | r3      | desk
+                2    |             | beat i-1 up 1       | beat i-2 up 1 |         |
+                3    |             | beat i-1 draining 2 |               |         | ?usable i-1 i-2
+                3.1  | kill {lost} | ?200                |               |         |
+                6    |             |                     |               |         | ?usable i-2
+                """)
+
+
+class Sessions(Case):
+    def test_a_desk_whose_registry_ends_goes_on_at_another(self):
+        self.play("""
+            time | events  | r1      | r2      | r3            | desk
+            2    |         | put 1 0 |         | beat i-1 up 1 | ?at r1
+            2.5  | kill r1 |         |         |               | ?ver 1
+            4    |         |         | put 2 1 | beat i-2 up 1 |
+            4.5  |         |         | ?200    |               | ?ver 2; ?usable i-1 i-2
+            """)
+
+    def test_a_desk_leaves_a_registry_that_is_cut_off(self):
+        # r1 and the desk are in the same place, but r1 is cut off from all; the link is silent.
+        self.play("""
+            time | events | r1      | r2      | r3      | desk
+            2    |        | put 1 0 |         |         | ?at r1
+            3    | cut r1 |         |         |         |
+            3.1  |        |         | put 2 1 |         |
+            5.5  |        |         | ?200    |         | ?ver 2
+            """)
+
+    def test_members_are_known_everywhere(self):
+        system = self.play("""
+            time | events | r1 | r2 | r3 | desk
+            4    |        |    |    |    | ?at r1
+            """)
+        with worn(system.world, lambda event, **fields: None):
+            for name in REGISTRIES:
+                system.world.enter(system.processes[name])
+                registry = system.registries[name]
+                self.assertEqual(list(registry.roll.members(registry.now())), ["desk"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/folio/test_transport.py
@@ -0,0 +1,298 @@
+"""Links between our processes, calls, and settings: bytes that come in any pieces, or make no sense."""
+
+import asyncio
+import json
+import random
+import re
+import struct
+import unittest
+from types import SimpleNamespace
+from unittest import mock
+
+from folio import boot, calls
+from folio.accession.register import Record
+from folio.registry.daemon import Registry
+from folio.transport import links
+from folio.transport import messages as m
+from folio.transport.http import IDLE, MOST_WAITING, Caller
+from folio.transport.links import Link, frame
+
+MESSAGES = [m.Hello("10.0.0.1:80", "life"), m.Ping(1.5, 0.0, 7, ["10.0.0.2:80"]), m.Bye(), m.Rows([]),
+            m.Rows([Record("i-1", "s", "10.0.0.3:80", "z", "v", 4)]), m.Heard([("i-1", 3)]),
+            m.State(3, m.pack(b"x" * 5000)), m.Step(4, True, m.pack(b"y")), m.Quiet(["i-1"]),
+            m.Pulse(3, 4, True), m.Draw("d", "t", 1, 2), m.Drawn("d", 2, 1, 0.5)]
+
+
+class Transport:
+    def __init__(self):
+        self.written, self.closed, self.unread = b"", False, 0
+
+    def get_extra_info(self, name):
+        return SimpleNamespace(setsockopt=lambda *told: None)
+
+    def get_write_buffer_size(self):
+        return self.unread
+
+    def is_closing(self):
+        return self.closed
+
+    def write(self, data):
+        self.written += data
+
+    def close(self):
+        self.closed = True
+
+    abort = close
+
+
+def pieces(data, rng):
+    while data:
+        size = rng.choice([1, 2, 5, 100, 10_000])
+        yield data[:size]
+        data = data[size:]
+
+
+class Links(unittest.TestCase):
+    def setUp(self):
+        patch = mock.patch.object(links.logs, "say")
+        self.say = patch.start()
+        self.addCleanup(patch.stop)
+
+    def link(self):
+        self.heard = []
+        link = Link(lambda link, message: self.heard.append(message), lambda link: None)
+        link.connection_made(Transport())
+        return link
+
+    def test_messages_arrive_whole_and_in_order_however_they_are_cut(self):
+        data = b"".join(map(frame, MESSAGES))
+        for size in (1, 3, 4, 5, 7, 64, 4096, len(data)):
+            link = self.link()
+            for at in range(0, len(data), size):
+                link.data_received(data[at:at + size])
+            self.assertEqual((self.heard, link.buffer), (MESSAGES, b""), size)
+
+    def test_what_can_not_be_read_drops_the_link_and_is_counted(self):
+        def framed(body):
+            return struct.pack(">I", len(body)) + body
+        good = frame(MESSAGES[1])
+        for bad in (framed(b""), framed(b"\xc1"), framed(m.encode(["none"])), framed(m.encode(["ping", "x", 0, 1])),
+                    framed(m.encode({"a": 1})), framed(b"\x91" * 50_000), framed(m.encode(["ping"]) + b"\x00"),
+                    struct.pack(">I", links.MOST_FRAME + 1), framed(b"\x92\xa5hello\xa2\xff\xfe")):
+            link, before = self.link(), Link.unreadable
+            link.data_received(good + bad + good)
+            self.assertEqual((len(self.heard), link.open, Link.unreadable - before), (1, False, 1), bad[:30])
+
+    def test_any_bytes_are_heard_or_drop_the_link(self):
+        rng = random.Random(7)
+        for _ in range(800):
+            data = bytearray(b"".join(frame(rng.choice(MESSAGES)) for _ in range(3)))
+            for _ in range(rng.randint(0, 3)):
+                data[rng.randrange(len(data))] = rng.randrange(256)
+            del data[rng.randrange(1, len(data) + 1):]
+            link = self.link()
+            for piece in pieces(bytes(data), rng):
+                if link.open:
+                    link.data_received(piece)
+            self.assertLessEqual(len(self.heard), 3)
+
+    def test_one_that_is_closed_by_what_it_heard_says_no_more(self):
+        link = Link(lambda link, message: (heard.append(message), link.close()), lambda link: None)
+        heard = []
+        link.connection_made(Transport())
+        link.data_received(frame(MESSAGES[0]) * 2)
+        self.assertEqual(len(heard), 1)
+
+    def test_a_peer_that_does_not_read_is_dropped(self):
+        link = self.link()
+        link.send(MESSAGES[0])
+        self.assertEqual(link.transport.written, frame(MESSAGES[0]))
+        link.transport.unread = links.MOST_WAITING + 1
+        link.send(MESSAGES[0])
+        self.assertEqual((link.transport.written, link.open), (frame(MESSAGES[0]), False))
+
+    def test_packed_bodies(self):
+        for body in (b"", b"x", b"x" * m.PACK_FROM, random.Random(1).randbytes(9000)):
+            self.assertEqual(m.unpack(m.pack(body)), body)
+        for bad in (b"", b"q", b"z", b"zjunk", m.pack(b"x" * 9000)[:-9]):
+            with self.assertRaises(ValueError):
+                m.unpack(bad)
+
+
+class Calls(unittest.TestCase):
+    """`held` are calls that were served and not answered yet."""
+
+    def setUp(self):
+        self.soon, self.timers = [], []
+        loop = SimpleNamespace(call_soon=self.soon.append, call_later=self.later)
+        patch = mock.patch.object(asyncio, "get_running_loop", lambda: loop)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def later(self, delay, call):
+        self.timers.append(call)
+        return SimpleNamespace(cancel=lambda: None)
+
+    def caller(self, most=1000, at_once=True):
+        self.held, self.seen = [], []
+
+        def serve(call):
+            self.seen.append((call.method, call.path, call.body))
+            call.reply(200, call.body) if at_once else self.held.append(call)
+        caller = Caller(serve, most)
+        caller.connection_made(Transport())
+        return caller
+
+    def turn(self):
+        while self.soon:
+            self.soon.pop(0)()
+
+    def statuses(self, caller):
+        return [int(status) for status in re.findall(rb"HTTP/1\.1 (\d+)", caller.transport.written)]
+
+    def test_calls_behind_one_another_are_answered_in_turn(self):
+        data = (b"PUT /-/backends/i%2D1?x=1 HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc"
+                b"GET /-/config HTTP/1.1\r\n\r\n"
+                b"PATCH /-/config HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nde\r\n0\r\n\r\n")
+        expected = [("PUT", "/-/backends/i-1", b"abc"), ("GET", "/-/config", b""), ("PATCH", "/-/config", b"de")]
+        for size in (1, 10, len(data)):
+            caller = self.caller(at_once=False)
+            for at in range(0, len(data), size):
+                caller.data_received(data[at:at + size])
+            for count in range(3):
+                self.assertEqual(len(self.seen), count + 1)
+                self.held[-1].reply(200 + count)
+                self.held[-1].reply(500)    # a second answer to one call is none
+                self.turn()
+            self.assertEqual((self.seen, self.statuses(caller)), (expected, [200, 201, 202]))
+            self.assertFalse(caller.transport.closed)
+
+    def test_a_connection_ends_when_its_caller_says_so(self):
+        for head in (b"GET / HTTP/1.1\r\nConnection: close\r\n\r\n", b"GET / HTTP/1.0\r\n\r\n"):
+            caller = self.caller()
+            caller.data_received(head + b"GET /again HTTP/1.1\r\n\r\n")
+            self.turn()
+            self.assertEqual((len(self.seen), self.statuses(caller)), (1, [200]))
+            self.assertTrue(caller.transport.closed)
+            self.assertIn(b"Connection: close", caller.transport.written)
+
+    def test_what_is_too_large_or_no_call_is_refused_after_what_came_before(self):
+        first = b"GET /first HTTP/1.1\r\n\r\n"
+        for bad, status in ((b"PUT / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n" + b"x" * 2000, 413),
+                            (b"PUT / HTTP/1.1\r\nX: " + b"y" * 2000, 413), (b"noise\r\n\r\n", 400),
+                            (b"PUT / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx", 400)):
+            caller = self.caller(at_once=False)
+            caller.data_received(first)
+            caller.data_received(bad)
+            caller.data_received(first)
+            self.assertEqual(self.statuses(caller), [])
+            self.held[0].reply(200)
+            self.turn()
+            self.assertEqual((self.statuses(caller), len(self.seen)), ([200, status], 1), bad[:40])
+            self.assertTrue(caller.transport.closed)
+
+    def test_a_wish_for_another_protocol_is_left_aside(self):
+        wish = b"Connection: Upgrade\r\nUpgrade: h2c\r\n"
+        caller = self.caller()
+        for _ in range(4):
+            caller.data_received((b"GET / HTTP/1.1\r\n" + wish + b"\r\n") * 10)
+        caller.data_received(b"GET /next HTTP/1.1\r\n\r\n")
+        self.assertEqual(self.statuses(caller), [200] * 41)
+        caller.data_received(b"PUT / HTTP/1.1\r\n" + wish + b"Content-Length: 3\r\n\r\nGET / HTTP/1.1\r\n\r\n")
+        self.assertEqual((self.statuses(caller)[41:], len(self.seen)), ([400], 41))
+
+    def test_too_many_calls_behind_one_another_are_not_gathered(self):
+        caller = self.caller(10_000, at_once=False)
+        caller.data_received(b"GET / HTTP/1.1\r\n\r\n" * (2 * MOST_WAITING))
+        for _ in range(MOST_WAITING + 1):
+            self.held.pop().reply(200)
+            self.turn()
+        self.assertEqual(self.statuses(caller), [200] * (MOST_WAITING + 1) + [503])
+
+    def test_answers_to_who_has_left_go_nowhere(self):
+        caller = self.caller(at_once=False)
+        caller.data_received(b"GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n")
+        caller.transport.close()
+        caller.connection_lost(None)
+        self.held[0].reply(200)
+        self.turn()
+        self.assertEqual((caller.transport.written, len(self.seen)), (b"", 1))
+
+    def test_one_that_says_nothing_is_closed_unless_it_waits_for_an_answer(self):
+        caller = self.caller(at_once=False)
+        caller.data_received(b"GET / HTTP/1.1\r\n\r\n")
+        for _ in range(3):
+            self.timers.pop()()
+        self.held[0].reply(200)
+        self.assertFalse(caller.transport.closed)
+        self.timers.pop()()
+        self.assertTrue(caller.transport.closed)
+        self.assertGreater(IDLE, 5.0)
+
+    def test_any_bytes_get_no_more_answers_than_calls_and_one_refusal(self):
+        rng = random.Random(11)
+        parts = [b"GET / HTTP/1.1\r\n\r\n", b"PUT /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc", b"\r\n", b"\x00",
+                 b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n", b"GET / HT", b"CONNECT a:1 ",
+                 b"Expect: 100-continue\r\n", b"HTTP/1.1\r\n", b"Upgrade: x\r\nConnection: upgrade\r\n", b"\r\n\r\n"]
+        for _ in range(1500):
+            caller = self.caller(at_once=rng.random() < 0.5)
+            for piece in pieces(b"".join(rng.choices(parts, k=rng.randint(1, 6))), rng):
+                caller.data_received(piece)
+            for call in self.held:
+                call.reply(200)
+                self.turn()
+            told = [status for status in self.statuses(caller) if status != 100]
+            self.assertIn(len(told) - len(self.seen), (0, 1))
+            self.assertEqual(told[:len(self.seen)], [200] * len(self.seen))
+
+
+class Table(unittest.TestCase):
+    def test_each_call_has_its_handler(self):
+        for method, path, name in calls.TABLE:
+            ident = "i-1" if path.endswith("/") else ""
+            self.assertEqual(calls.find(method, path + ident), (name, ident))
+            self.assertTrue(callable(getattr(Registry, f"call_{name}")), name)
+
+    def test_what_is_none(self):
+        for method, path, status in (("GET", "/-/none", 404), ("PUT", "/-/backends/a/b", 404), ("GET", "", 404),
+                                     ("PUT", "/-/config/", 404), ("POST", "/-/config", 405),
+                                     ("GET", "/-/backends/i", 405), ("get", "/-/config", 405), ("", "/", 404)):
+            self.assertEqual(calls.find(method, path), status, (method, path))
+
+
+class Settings(unittest.TestCase):
+    GOOD = {"hostname": "edge-1", "ip": "10.0.0.1", "az": "a", "port_range": [7000, 7010],
+            "seeds": ["10.0.0.1:8000"], "bind": {"ctl": "10.0.0.1:8000"}, "limits": {"nofile": 900}}
+
+    def test_what_is_wrong_is_named(self):
+        for change, field in (({"seeds": ["x"]}, "seeds"), ({"bind": {"http": "a:70000"}}, "bind.http"),
+                              ({"port_range": [5, 4]}, "port_range"), ({"hb": "1"}, "hb"), ({"ip": 4}, "ip"),
+                              ({"bounds": {"drain": "2m"}}, "bounds.drain"), ({"limits": {"nofile": "x"}}, "nofile")):
+            with self.assertRaises(boot.BootError) as raised:
+                boot.parse(json.dumps({**self.GOOD, **change}).encode())
+            self.assertIn(field, str(raised.exception))
+
+    def test_what_is_null_or_not_known_is_left_out(self):
+        told = boot.parse(json.dumps({**self.GOOD, "role": None, "more": {"x": 1}, "bounds": {"drain": None}}).encode())
+        self.assertEqual((told.role, told.bounds.drain, told.limits.nofile), ("", "2500ms", 900))
+
+    def test_any_bytes_are_settings_or_an_error_of_ours(self):
+        rng = random.Random(13)
+        good = json.dumps({**self.GOOD, "hb": "1s", "bounds": {"grace": "6s"}}).encode()
+        values = [b"null", b"-1", b"[]", b"{}", b'""', b'"\xff"', b"1e999", b"9" * 40, b'"\\ud800"', b"true"]
+        cases = [b"[" * 100_000, b'{"a":' * 100_000, b"", b"\xff\xfe", b"null"]
+        for _ in range(2000):
+            data = bytearray(good)
+            for _ in range(rng.randint(1, 3)):
+                at = rng.randrange(len(data))
+                data[at:at + rng.randint(0, 12)] = rng.choice([b"", rng.choice(values), rng.randbytes(1)])
+            cases.append(bytes(data))
+        for data in cases:
+            try:
+                self.assertIsInstance(boot.parse(data), boot.Boot)
+            except boot.BootError as error:
+                self.assertTrue(str(error))
+
+
+if __name__ == "__main__":
+    unittest.main()
