--- a/folio/charter/check.py
+++ b/folio/charter/check.py
@@ -182,6 +182,8 @@
         self.timing = timing or Timing()
         self.now = 0.0
         self.loss = self.doubled = self.late = 0.0
+        self.sync = 0.002
+        self.all_crash_at_ack = False
         self.cut: set[frozenset[str]] = set()
         self.founders = founders
         self.hosts: dict[str, Host] = {}
@@ -246,6 +248,13 @@
         if lose_disk:
             host.disk = Disk()
 
+    def crash_all(self) -> None:
+        """All lose power at once, and come back within a second."""
+        for host in self.hosts.values():
+            if host.node is not None:
+                self.crash(host.addr)
+            self.after(self.rng.uniform(0.1, 1.0), self.start, host.addr)
+
     def may_lose(self, addr: str) -> bool:
         """Whether what is chosen outlives the loss of this disk, by no more than the number of copies."""
         last = max(self.chosen, default=0)
@@ -271,7 +280,7 @@
                     self._send(host, addr, message)
                 case Persist():
                     host.queue.append(effect)
-                    host.disk_free = max(self.now, host.disk_free) + self.rng.uniform(0.001, 0.003)
+                    host.disk_free = max(self.now, host.disk_free) + self.sync * self.rng.uniform(0.5, 1.5)
                     self.after(host.disk_free - self.now, self._synced, host, host.life, effect)
                 case Apply(slot=slot, entry=entry):
                     self._check_applied(host, slot, entry)
@@ -369,6 +378,9 @@
             if len({entry.ver for entry in taken if entry.parent == order.parent}) != 1:
                 raise Violation(f"two changes on {order.parent} were taken")
             self.acknowledged.setdefault(order.ver, slot)
+            if self.all_crash_at_ack:
+                self.all_crash_at_ack = False
+                self.after(0.0, self.crash_all)
         elif outcome == STALE:
             self.refused.add(order.ver)
             if any(isinstance(e, Change) and e.ver == order.ver for e in self.chosen.values()):
@@ -389,10 +401,12 @@
     def play(self) -> None:
         world, rng = self.world, self.world.rng
         world.loss, world.doubled, world.late = (rng.choice((0.0, 0.02, 0.1)) for _ in range(3))
+        world.sync = rng.choice((0.002, 0.002, 0.02))
         for _ in range(self.steps):
             rng.choice(self._ACTS)(self)
             world.run_until(world.now + rng.choice((0.002, 0.01, 0.05, 0.3, 1.0)))
         world.loss = world.doubled = world.late = 0.0
+        world.sync, world.all_crash_at_ack = 0.002, False
         world.cut.clear()
         for host in world.hosts.values():
             host.disk.refuses = False
@@ -435,10 +449,10 @@
             self.world.after(self.world.rng.choice((0.01, 0.5, 2.0)), self.world.start, host.addr)
 
     def _crash_all(self) -> None:
-        for host in self.world.hosts.values():
-            if host.node is not None:
-                self.world.crash(host.addr)
-            self.world.after(self.world.rng.uniform(0.1, 1.0), self.world.start, host.addr)
+        if self.world.rng.random() < 0.5:
+            self.world.all_crash_at_ack = True
+        else:
+            self.world.crash_all()
 
     def _may_lose(self, host: Host) -> bool:
         world = self.world
@@ -635,7 +649,7 @@
     def go(self, depth: int, left: tuple[int, int, int]) -> Walk:
         walk, start = self.walk, self.start(left)
         layer, seen = [start], {hash(start.key())}
-        while layer and walk.depth <= depth:
+        while layer:
             after_layer = []
             for moment in layer:
                 walk.states += 1
@@ -655,7 +669,7 @@
                         seen.add(key)
                         after_layer.append(after)
             layer = after_layer
-            walk.depth += 1
+            walk.depth += bool(layer)
         walk.complete = True
         return walk
 
--- a/folio/charter/node.py
+++ b/folio/charter/node.py
@@ -106,6 +106,7 @@
     poll_all: bool = True
     orphan: float = 0.25
     knock: float = 0.3
+    sure: float = 0.75
     replace_after: float = 1.2
     evict_after: float = 2.0
     turn: float = 0.2
@@ -197,6 +198,7 @@
         self._busy_peeks = 0
         self._hold = 0.0
         self._clock: float | None = None
+        self._since = 0.0
         self._heard: dict[str, float] = {}
         self._knockers: dict[str, tuple[Voter, float]] = {}
         self._resigning: dict[str, float] = {}
@@ -297,7 +299,8 @@
     def _set_clock(self, now: float) -> None:
         # After a freeze everyone seems silent, though it was this machine that did not listen.
         if self._clock is None or now - self._clock > 1.0:
-            self._heard = {voter.addr: now for voter in self.voters}
+            self._heard = {}
+            self._since = now
             self._turn = None
             if self._clock is None:
                 self._vote_since = now - self.timing.orphan * 0.8
@@ -309,7 +312,10 @@
     def _silence(self, addr: str) -> float:
         if addr == self.me.addr:
             return 0.0
-        return self._clock - self._heard.setdefault(addr, self._clock)
+        if addr in self._heard:
+            return self._clock - self._heard[addr]
+        # Not heard since the start: it is neither surely there nor surely gone.
+        return max(self._clock - self._since, self.timing.sure * 1.01)
 
     def _done(self, out: list[Effect]) -> list[Effect]:
         due = [self._poll_due if self.voters else self._contact_due, self._unsaved_due]
@@ -439,8 +445,10 @@
         current.got[message.voter] = message
         if len(current.got) < current.need:
             return
-        self._confirm(current.seq)
-        held = [promise for promise in current.got.values() if promise.accepted is not None]
+        held = [promise for promise in current.got.values() if promise.accepted and promise.entry]
+        if not held:
+            # What is held may be chosen already, and more after it: then nothing is known to be newest.
+            self._confirm(current.seq)
         candidate = self._candidate()
         orphan = self._orphan()
         if held:
@@ -744,6 +752,7 @@
             self._resigning,
             self._silence,
             self.survive,
+            self.timing.sure,
             self.timing.replace_after,
             self.timing.evict_after,
         )
--- a/folio/charter/voters.py
+++ b/folio/charter/voters.py
@@ -39,13 +39,16 @@
     resigning: Collection[str],
     silence: Callable[[str], float],
     survive: int,
+    sure: float,
     replace_after: float,
     evict_after: float,
 ) -> list[Voter] | None:
     """The next set of voters, one change away from `voters`, or None if it is right as it is.
 
     `resigning` holds ids; `silence` gives the seconds since an address was last heard. Nothing is
-    proposed unless majorities of the old and of the new voters are within earshot.
+    proposed unless majorities of the old and of the new voters are within earshot. A voter that is silent
+    for longer than `sure` may be gone: nobody is added meanwhile, for a fourth voter beside a dead one
+    would leave no loss to be borne.
     """
     knocking = {knocker.addr: 0.0 for knocker in knockers}
 
@@ -59,6 +62,8 @@
         if knocker.id in ids and knocker in voters:
             continue
         going = _place_of(voters, knocker, resigning, quiet, replace_after)
+        if not going and any(quiet(voter) > sure for voter in voters):
+            continue
         new = sorted([voter for voter in voters if voter not in going] + [knocker])
         if _alive(new, lambda voter: knocking.get(voter.addr, quiet(voter)), replace_after):
             return new
--- a/folio/circulation/clerk.py
+++ b/folio/circulation/clerk.py
@@ -51,7 +51,9 @@
     told_at: float = -inf
     slow: float = 1.0       # its time for a piece of work against the others'
     fails: int = 0          # in a row
-    rest_until: float = 0.0
+    failed_at: float = -inf
+    rest_until: float = 0.0     # after failures
+    full_until: float = 0.0     # after it turned a request away
     answered_at: float = -inf
 
 
@@ -216,6 +218,7 @@
         able = [s for s in self.services.get(t.svc, ()) if s.usable and s.id not in t.tried]
         if not able:
             return None
+        able = [s for s in able if now >= s.full_until]
         well = [s for s in able if now >= s.rest_until and not s.quiet]
         if not well:
             # All rest or are silent: what may be repeated finds out whether one is back.
@@ -321,6 +324,20 @@
         self.admission.answered(t.tenant, now - t.begun, t.route.target, now)
         return [Give(number, 504, reason="deadline")]
 
+    def passed(self, number: int, attempt: int, whole: bool, now: float) -> None:
+        """A large answer of this attempt has gone to the client as it came, `whole` or broken off."""
+        t = self.tries.pop(number, None)
+        if t is None or attempt not in t.out:
+            return
+        server, sent = t.out.pop(attempt)
+        server.out -= 1
+        self._leave(t, now)
+        if whole:
+            server.fails, server.answered_at = 0, now
+            self.admission.answered(t.tenant, now - t.begun, t.route.target, now)
+        elif sent >= server.failed_at:
+            self._fail(server, now)
+
     def gone(self, number: int, now: float) -> None:
         """The client has left."""
         if (t := self.tries.pop(number, None)) is not None:
@@ -352,12 +369,12 @@
                 s.slow += LEARN_SLOW * (ratio - s.slow)
                 kind.work += LEARN * (min(latency / s.slow, 3.0 * kind.work) - kind.work)
         elif status is Status.FULL:
-            s.rest_until = max(s.rest_until, now + FULL_REST)
+            s.full_until = now + FULL_REST
             s.told, s.told_at = max(s.told, float(s.slots + WAITING)), now
         elif status in (Status.RESET, Status.TIMEOUT, Status.CONNECT_FAILED):
-            if sent >= s.rest_until - REST:     # what was sent before tells nothing new
+            if sent >= s.failed_at:     # what was sent before tells nothing new
                 self._fail(s, now)
 
     def _fail(self, s: Server, now: float) -> None:
-        s.fails += 1
+        s.fails, s.failed_at = s.fails + 1, now
         s.rest_until = now + min(REST_MOST, REST * 2.0 ** (s.fails - 1))
--- a/folio/circulation/desk.py
+++ b/folio/circulation/desk.py
@@ -41,6 +41,7 @@
     timer: asyncio.TimerHandle | None = None
     out: dict[int, Exchange] = field(default_factory=dict)
     passing: Passing | None = None
+    drawing: bool = False   # the reserve has been asked for it
 
 
 @dataclass(slots=True, eq=False)
@@ -181,11 +182,13 @@
                 self.admission.lend(draw.tenant, given, now)
             if ticket is None or ticket.client is None:
                 return
+            ticket.drawing = False
             if draw.tenant not in self.admission.tenants:
                 return self._finish(ticket, lambda c: c.answered(401, [], b"the key is not known\n"))
             self._do(self.clerk.arrive(ticket.id, ticket.asked.route, draw.tenant, ticket.deadline - now, now,
                                        0.0 if given else wait))
 
+        self.tickets[draw.id].drawing = True
         self.reserve(draw.tenant, 1, done)
 
     def _wake(self, request: int) -> None:
@@ -213,7 +216,7 @@
     def _outcome(self, ticket: Ticket, number: int, status: Status, answer: Answer | None,
                  passing: Passing | None = None) -> None:
         if ticket.client is not None and ticket.passing is not None and ticket.passing is passing:
-            self.clerk.gone(ticket.id, clock.monotonic())
+            self.clerk.passed(ticket.id, number, status is Status.OK, clock.monotonic())
             self._finish(ticket, (lambda c: c.finish()) if status is Status.OK else (lambda c: c.broken()))
         elif ticket.client is not None and ticket.passing is None:
             load = load_of(answer) if answer is not None else None
@@ -259,6 +262,9 @@
         if ticket.client is None:
             return
         self._do(self.clerk.over(ticket.id, clock.monotonic()))
+        if ticket.client is not None and ticket.drawing:
+            # It waits for the reserve: no server has had it.
+            self._finish(ticket, lambda c: c.answered(429, [(REASON, b"quota")], b"quota\n"))
         if ticket.client is not None:
             # Guards against a decision that has lost a request: its answer must not wait for it.
             logs.say("lost_track", id=ticket.asked.txn.decode("latin-1"))
--- a/folio/circulation/dialect.py
+++ b/folio/circulation/dialect.py
@@ -28,6 +28,8 @@
         if 200 <= status < 300:
             if field(headers, SEAL) is None:
                 return "has no seal"
+            if field(headers, b"x-attempt-id") is None:
+                return "names no request"
             if field(headers, b"content-encoding") is not None:
                 return "is encoded, which nobody asked for"
             if until_close:
--- a/folio/circulation/follower.py
+++ b/folio/circulation/follower.py
@@ -216,7 +216,7 @@
         self.loop.call_later(REPORT * self.rng.uniform(0.9, 1.1), self._report)
 
     def _send_report(self, now: float) -> None:
-        if self.link is None or self.table is None:
+        if self.link is None:
             return
         held = {key: self._holdings(key).to_report(now) for key in KEYS}
         self.link.send(m.Report(self.asks(), held))
--- a/folio/logs.py
+++ b/folio/logs.py
@@ -42,7 +42,8 @@
         seen = _seen[event] = [now, 0]
     seen[1] += 1
     if seen[1] <= _SAMPLE:
-        _log.info(" ".join([f"t={clock.time():.3f} event={event}", *(f"{k}={_text(v)}" for k, v in fields.items())]))
+        pairs = [f"t={clock.time():.3f} event={event}", *(f"{k}={_text(v)}" for k, v in fields.items())]
+        _log.info(" ".join(pairs))
 
 
 def failure(event: str) -> None:
--- a/folio/reference/dispatch.py
+++ b/folio/reference/dispatch.py
@@ -15,6 +15,12 @@
     return custody
 
 
+def _emulation():
+    # So is the emulator, which is most of the toolbox.
+    from folio.reference import emulation
+    return emulation
+
+
 COMMANDS = {
     "check": commands.check,
     "servers": commands.servers,
@@ -28,6 +34,10 @@
     "snapshot": lambda args: _custody().snapshot(args),
     "restore": lambda args: _custody().restore(args),
     "model-check": lambda args: _custody().model_check(args),
+    "emulate": lambda args: _emulation().emulate(args),
+    "experiment": lambda args: _emulation().experiment(args),
+    "plan": lambda args: _emulation().plan(args),
+    "replay": lambda args: _emulation().again(args),
 }
 CONFIG_COMMANDS = {
     "get": commands.config_get,
--- /dev/null
+++ b/folio/reference/emulation.py
@@ -0,0 +1,144 @@
+"""The commands that run the emulator; loaded only for them."""
+
+from __future__ import annotations
+
+import os
+from typing import Any
+
+import msgspec
+
+from folio.reference import experiment as experiments
+from folio.reference import planner
+from folio.reference.commands import Args, _json, _out, _read, _write, number
+from folio.reference.errors import DONE, FAILED, BadInputError
+from folio.reference.tables import table
+from folio.stacks import cell, replay
+from folio.stacks.day import Day, DayError, changed, parse
+
+
+def _day(path: str, field: str) -> Day:
+    try:
+        return parse(_read(path, field))
+    except DayError as error:
+        raise BadInputError(field, f"{path}: {error}") from None
+
+
+def _constants(args: Args) -> dict[str, str]:
+    told = {}
+    for each in filter(None, (args["--set"] or "").split(",")):
+        name, equals, value = each.partition("=")
+        if not equals:
+            raise BadInputError("--set", f"{each!r} is not module:NAME=VALUE")
+        told[name.strip()] = value.strip()
+    return told
+
+
+def _seeds(args: Args) -> list[int]:
+    return list(range(1, number(args, "--runs", int) + 1))
+
+
+def _jobs(args: Args) -> int:
+    return number(args, "--jobs", int) if args["--jobs"] else os.cpu_count() or 1
+
+
+def _told(figures: cell.Figures) -> str:
+    """The figures of one run for people."""
+    head = {name: getattr(figures, name) for name in (
+        "asks", "served", "share", "worth", "worst", "refused", "failed", "p50", "p99", "again", "budget",
+        "quota", "connections", "between_kb", "processor", "syncs", "took")}
+    lines = [table([{"figure": name, "value": value} for name, value in head.items()])]
+    kinds = [{"name": name} | msgspec.to_builtins(kind) for name, kind in figures.kinds.items()]
+    lines.append(table(kinds))
+    lines += [f"BROKEN {line}\n" for line in figures.told]
+    lines += [f"FAILURE {line.strip().splitlines()[-1]}\n" for line in figures.failures]
+    return "\n".join(lines[:2]) + "".join(lines[2:])
+
+
+def _played(args: Args, day: Day) -> int:
+    try:
+        with experiments.settings(_constants(args)):
+            figures, lines = cell.play(day, number(args, "--seed", int), bool(args["--log"]))
+    except ValueError as error:
+        raise BadInputError("--set", str(error)) from None
+    if args["--log"]:
+        _write(args["--log"], "".join(f"{line}\n" for line in lines).encode(), "--log")
+    if args["--json"]:
+        _json(msgspec.to_builtins(figures))
+    else:
+        _out(_told(figures))
+    return FAILED if figures.rules or figures.failures else DONE
+
+
+def emulate(args: Args) -> int:
+    """Play one day. FAILED when a rule was broken."""
+    return _played(args, _day(args["DAY"], "DAY"))
+
+
+def again(args: Args) -> int:
+    """Play what was asked on a day, by its logs, in the deployment of another."""
+    day = _day(args["--day"], "--day")
+    logs = [_read(path, "LOG").decode("utf-8", "replace").splitlines() for path in args["LOG"]]
+    try:
+        asked = replay.trace(logs, number(args, "--seed", int))
+    except replay.ReplayError as error:
+        raise BadInputError("LOG", str(error)) from None
+    known = {route.name for route in day.deployment.routes}
+    if not known & {route for _, route, _ in asked}:
+        raise BadInputError("--day", "its deployment has none of the routes in the logs")
+    length = asked[-1][0] + 0.001
+    return _played(args, changed(day, {"trace": [list(one) for one in asked], "length": length}))
+
+
+def experiment(args: Args) -> int:
+    """Play the variants of an experiment side by side, and tell what differs."""
+    told, jobs = experiments.load(args["FILE"][0])
+    found = experiments.run(jobs, _jobs(args))
+    values = experiments.gather(jobs, found)
+    base = next(iter(values.values()))
+    rows = experiments.compare(values, base, told.measures)
+    earlier: list[dict[str, Any]] = []
+    if args["--keep"]:
+        kept = experiments.keep(args["--keep"], told.name, jobs, values)
+        earlier = experiments.since(values, kept, told.measures)
+    broken = [f"{job.variant}, seed {job.seed}: {line}" for job, figures in zip(jobs, found, strict=True)
+              for line in [*figures["told"], *figures["failures"]]]
+    if args["--report"]:
+        from folio.reference import report
+        spans: dict[str, list[list[float]]] = {}
+        for job, figures in zip(jobs, found, strict=True):
+            spans.setdefault(job.variant, []).append(figures["spans"])
+        drawings = [] if args["--no-plots"] else report.plots(values, spans, told.measures)
+        report.write(args["--report"], told.name, rows, earlier, broken[:60], drawings)
+    if args["--json"]:
+        _json({"experiment": told.name, "rows": rows, "earlier": earlier, "broken": broken})
+    else:
+        _out(table(rows))
+        if earlier:
+            _out("\nAgainst the results kept last:\n" + table(earlier))
+        _out("".join(f"BROKEN {line}\n" for line in broken[:20]))
+    return FAILED if broken else DONE
+
+
+def plan(args: Args) -> int:
+    """Say what a deployment carries, and what it would with something lost, retired or doubled."""
+    def listed(name: str) -> list[str]:
+        return [each.strip() for each in (args[name] or "").split(",") if each.strip()]
+
+    retired = []
+    for each in listed("--retire"):
+        service, _, count = each.partition(":")
+        if not count.isdigit() or not int(count):
+            raise BadInputError("--retire", f"{each!r} is not SERVICE:COUNT")
+        retired.append((service, int(count)))
+    try:
+        loads = [float(each) for each in listed("--load")]
+    except ValueError:
+        raise BadInputError("--load", f"{args['--load']!r} is not a list of factors") from None
+    days = planner.cases(_day(args["DAY"], "DAY"), listed("--lose-zone"), retired, listed("--double"), loads)
+    jobs = planner.jobs(days, _seeds(args))
+    rows = planner.summed(jobs, experiments.run(jobs, _jobs(args)))
+    if args["--json"]:
+        _json(rows)
+    else:
+        _out(table(rows))
+    return DONE
--- /dev/null
+++ b/folio/reference/report.py
@@ -0,0 +1,89 @@
+"""The report of an experiment: one HTML file with its tables, and plots where matplotlib is there."""
+
+from __future__ import annotations
+
+import html
+import io
+from typing import Any
+
+from folio.reference.errors import BadInputError
+
+STYLE = """body{font:15px/1.5 sans-serif;max-width:70em;margin:2em auto;padding:0 1em;color:#222}
+table{border-collapse:collapse;margin:1em 0}
+td,th{padding:.2em .8em;border-bottom:1px solid #ddd;text-align:right}
+td:first-child,th:first-child,td:nth-child(2),th:nth-child(2){text-align:left}
+.better{color:#06682d}.worse{color:#a3121f}svg{max-width:100%;height:auto}"""
+COLUMNS = ("variant", "measure", "runs", "mean", "spread", "difference", "low", "high", "clear")
+
+
+def _cell(value: Any) -> str:
+    return "" if value is None else f"{value:.4g}" if isinstance(value, float) else html.escape(str(value))
+
+
+def _table(rows: list[dict[str, Any]]) -> str:
+    head = "".join(f"<th>{name}</th>" for name in COLUMNS)
+    lines = []
+    for row in rows:
+        cells = "".join(f"<td>{_cell(row[name])}</td>" for name in COLUMNS)
+        lines.append(f'<tr class="{row["clear"]}">{cells}</tr>')
+    return f"<table><tr>{head}</tr>{''.join(lines)}</table>"
+
+
+def _svg(figure: Any) -> str:
+    out = io.StringIO()
+    figure.savefig(out, format="svg", metadata={"Date": None})
+    return out.getvalue().partition("<svg")[1] + out.getvalue().partition("<svg")[2]
+
+
+def plots(values: dict, spans: dict[str, list[list[float]]], measures: list[str]) -> list[str]:
+    """SVG: each measure by variant, a dot a seed, and the worth along the day. Raises BadInputError."""
+    try:
+        import matplotlib
+        matplotlib.use("svg")
+        matplotlib.rcParams["svg.hashsalt"] = "folio"   # the same file for the same results
+        from matplotlib.figure import Figure
+    except ImportError:
+        raise BadInputError("--report", "plots need what requirements-tools.txt lists; install it, or give "
+                                        "--no-plots") from None
+    names = list(values)
+    drawn = []
+    for name in measures:
+        figure = Figure(figsize=(7, 0.9 + 0.45 * len(names)), layout="constrained")
+        axes = figure.subplots()
+        for place, variant in enumerate(names):
+            told = [run[name] for run in values[variant].values()]
+            axes.plot(told, [place] * len(told), "o", alpha=0.5, color="tab:blue")
+            axes.plot([sum(told) / len(told)], [place], "|", markersize=18, color="black")
+        axes.set_yticks(range(len(names)), names)
+        axes.set_ylim(len(names) - 0.5, -0.5)
+        axes.set_xlabel(name)
+        drawn.append(_svg(figure))
+    figure = Figure(figsize=(8, 3.2), layout="constrained")
+    axes = figure.subplots()
+    for variant, runs in spans.items():
+        length = min(map(len, runs))
+        means = [sum(run[at] for run in runs) / len(runs) for at in range(length)]
+        axes.plot([5.0 * at for at in range(length)], means, label=variant)
+    axes.set_xlabel("s of the load")
+    axes.set_ylabel("worth earned / owed")
+    axes.legend(fontsize="small")
+    return [*drawn, _svg(figure)]
+
+
+def write(path: str, title: str, rows: list[dict[str, Any]], earlier: list[dict[str, Any]],
+          told: list[str], drawings: list[str]) -> None:
+    """Write the report. Raises BadInputError."""
+    parts = [f"<!doctype html><meta charset=utf-8><title>{html.escape(title)}</title><style>{STYLE}</style>",
+             f"<h1>{html.escape(title)}</h1>",
+             "<p>Differences are against the first variant, by pairs of the same seed; low and high hold the "
+             "mean difference in nine cases of ten.</p>", _table(rows)]
+    if earlier:
+        parts += ["<h2>Against the results kept last</h2>", _table(earlier)]
+    if told:
+        parts += ["<h2>Broken rules</h2><ul>", *(f"<li>{html.escape(line)}</li>" for line in told), "</ul>"]
+    parts += drawings
+    try:
+        with open(path, "w", encoding="utf-8") as file:
+            file.write("\n".join(parts) + "\n")
+    except OSError as error:
+        raise BadInputError("--report", f"{path}: {error.strerror}") from None
--- a/folio/reference/usage.py
+++ b/folio/reference/usage.py
@@ -21,6 +21,11 @@
   folio schema [config | patch | settings | deploy]
   folio model-check [--seeds=N] [--steps=N]
   folio demo DIR [--run]
+  folio emulate DAY [--seed=N] [--set=LIST] [--log=FILE] [--json]
+  folio experiment FILE [--jobs=N] [--report=OUT] [--no-plots] [--keep=STORE] [--json]
+  folio plan DAY [--lose-zone=LIST] [--retire=LIST] [--double=LIST] [--load=LIST]
+             [--runs=N] [--jobs=N] [--json]
+  folio replay LOG... --day=DAY [--seed=N] [--set=LIST] [--log=FILE] [--json]
   folio --help
 
 The roles `desk` and `registry` read the settings file that the variable CROWSEAM_BOOT names.
@@ -42,6 +47,19 @@
   --seeds=N       How many random schedules to try [default: 200].
   --steps=N       How many acts each schedule has [default: 30].
   --run           Start the processes of the demonstration, and stand-in servers, until interrupted.
+  --seed=N        What the run's chances are drawn from [default: 1].
+  --set=LIST      Constants of the code in this run, as folio.circulation.clerk:HEDGE=5,...
+  --log=FILE      Write what the emulated processes log to this file.
+  --runs=N        Runs of each case [default: 3].
+  --jobs=N        Runs at once; left out, one a core.
+  --report=OUT    Write a report (HTML) to this file, with plots.
+  --no-plots      Leave the plots out of the report.
+  --keep=STORE    Keep the results in this file, and compare with those kept last.
+  --lose-zone=LIST  Zones, each lost in a run of its own.
+  --retire=LIST   Servers to take away, as SERVICE:COUNT,...
+  --double=LIST   Tenants that ask twice as much, each in a run of its own.
+  --load=LIST     Factors of the whole load, as 1.5,2.
+  --day=DAY       The deployment in which the requests of the logs are played.
   --json          Print JSON for programs in place of tables for people.
 
 Exit codes: 0 done, 1 failed or not reached, 2 bad input, 3 refused by the system.
--- a/folio/registry/daemon.py
+++ b/folio/registry/daemon.py
@@ -363,8 +363,7 @@
         voters = {voter.addr for voter in self.node.voters}
         self.node.listeners = [addr for addr in self.dialers if addr not in voters]
         live = self.detector.near(now, self.dialers)
-        self._carry_duties(self.duties.tick(now, {addr for addr in live if addr in voters}
-                                             | ({self.me} & voters), voters))
+        self._carry_duties(self.duties.tick(now, live, voters))
         self._mind_lenders(now)
         self._post_all(self.pending.again(now))
         for ticket in self.pending.expired(now):
--- a/folio/rolls/duties.py
+++ b/folio/rolls/duties.py
@@ -1,4 +1,4 @@
-"""Duties, cut by key over the live registries; a key changes hands under a fence.
+"""Duties, cut by key over the live registries that vote; a key changes hands under a fence.
 
 The wanted holder of a key is found by highest random weight over the live registries, so one that comes or
 goes moves only the keys it had or gets. Being wanted gives no right: a holder needs a lease from a majority
@@ -174,7 +174,7 @@
             return []
         out: Outbox = []
         for key in self.keys:
-            out += self._tend(key, self._hands[key], wanted(key, live | {self.me}), live, now)
+            out += self._tend(key, self._hands[key], wanted(key, (live | {self.me}) & voters), live, now)
         return self._route(out, now)
 
     def holds(self, key: str, now: float) -> int | None:
--- a/folio/stacks/cell.py
+++ b/folio/stacks/cell.py
@@ -4,13 +4,16 @@
 
 import time
 from fnmatch import fnmatchcase
+from itertools import accumulate
 from random import Random
 
 from folio import boot as boots
+from folio import logs
 from folio.circulation.daemon import Process as DeskDaemon
+from folio.circulation.reader import Asked
 from folio.registry.daemon import Registry
 from folio.stacks.clients import Platform, Zone
-from folio.stacks.day import Day, Deployment, Route, Service, Tenant
+from folio.stacks.day import Day, Route, Service, Tenant
 from folio.stacks.disk import MemoryDisk, MemoryStore, Platter
 from folio.stacks.faults import KINDS, RESTART
 from folio.stacks.guise import worn
@@ -18,11 +21,13 @@
 from folio.stacks.loop import EPOCH, Process, World
 from folio.stacks.network import Network
 from folio.stacks.operator import Operator
+from folio.stacks.replay import ASKED, Tally
 from folio.stacks.servers import Server
 
 HTTP, READYZ, CTL, PEERS = 8405, 8406, 8407, (7660, 7675)
 FIRST_CONFIG = 1.0      # s after the machines' start that the operator begins
 STAGGER = 0.3           # s within which the first processes start
+COUNTED = 5.0       # s of what is asked that one line tells
 KEPT_LINES = 200_000    # log lines that are kept where they are asked for
 
 
@@ -36,6 +41,26 @@
         super().__init__(process.loop, boot, None, rng)
 
 
+class CountedDesk(DeskDaemon):
+    """The daemon, telling in its log what is asked."""
+
+    def __init__(self, process: Process, boot: boots.Boot, rng: Random) -> None:
+        super().__init__(process.loop, boot, rng)
+        self.tally, admit = Tally(), self.desk.admit
+
+        def counted(client: object, asked: Asked) -> int:
+            self.tally.add(asked.route.name, asked.tenant)
+            return admit(client, asked)
+
+        self.desk.admit = counted
+        process.loop.call_later(COUNTED, self._tell)
+
+    def _tell(self) -> None:
+        if counts := self.tally.take():
+            logs.say(ASKED, span=COUNTED, counts=counts)
+        self.loop.call_later(COUNTED, self._tell)
+
+
 class Machine:
     """One machine: its processes, its disk and its clock."""
 
@@ -62,10 +87,13 @@
 
     def boot(self, role: str, bootstrap: bool) -> boots.Boot:
         deployment, bounds = self.cell.deployment, self.cell.deployment.bounds
-        names = boots.Bind(ctl=self.ctl) if role == "registry" else boots.Bind(http=self.http, readyz=self.readyz)
+        names = boots.Bind(http=self.http, readyz=self.readyz)
+        if role == "registry":
+            names = boots.Bind(ctl=self.ctl)
         return boots.Boot(
-            hostname=self.name, ip=self.ip, az=self.zone, port_range=PEERS, seeds=self.cell.seeds, bind=names,
-            role=role, region="home", zones={zone.name: "home" for zone in deployment.zones}, bootstrap=bootstrap,
+            hostname=self.name, ip=self.ip, az=self.zone, port_range=PEERS, seeds=self.cell.seeds,
+            bind=names, role=role, region="home", bootstrap=bootstrap,
+            zones={zone.name: "home" for zone in deployment.zones},
             voting=self.platter is not None, limits=boots.Limits(mem_mb=300, nofile=4000),
             datadir="memory" if role == "registry" and self.platter is not None else "",
             hb=f"{deployment.hb:g}s", survive=boots.Survive(nodes=deployment.survive),
@@ -82,8 +110,8 @@
             return
         life = self.lives[role] = self.lives.get(role, 0) + 1
         process = self.cell.network.process(
-            f"{role}:{self.name}/{life}", self.ip, self.cell.deployment.processor.callback, offset=self.offset,
-            drift=self.drift, skew=self.skew)
+            f"{role}:{self.name}/{life}", self.ip, self.cell.deployment.processor.callback,
+            offset=self.offset, drift=self.drift, skew=self.skew)
         self.processes[role] = process
         delay = self.cell.deployment.processor.start * process.rng.uniform(0.8, 1.2)
         process.loop.call_later(delay, self._begin, role, process, bootstrap)
@@ -94,7 +122,7 @@
             if role == "registry":
                 daemon = MemoryRegistry(process, boot, self.platter, process.rng)
             else:
-                daemon = DeskDaemon(process.loop, boot, process.rng)
+                daemon = CountedDesk(process, boot, process.rng)
                 self.started.append(self.cell.world.now)
         except Exception as error:  # a process that can't start ends, whatever the reason
             self.cell.say("ended", error=repr(error))
@@ -164,6 +192,8 @@
         self.factors: list[tuple[str, float]] = []
         self.most_factor = self._most_factor(day)
         self.keys = {tenant.name: f"{tenant.name}-key" for tenant in self.deployment.tenants}
+        self.weights = list(accumulate(tenant.weight for tenant in self.deployment.tenants))
+        self.old_keys: dict[str, str] = {}      # taken away, or about to be
         self.machines: list[Machine] = []
         self.by_ip: dict[str, Machine] = {}
         self.by_name: dict[str, Machine] = {}
@@ -267,13 +297,14 @@
         names = [machine.ctl for machine in self.control if machine.ctl != avoid]
         return rng.choice(names or [self.control[0].ctl])
 
-    def key_of(self, tenant: Tenant) -> str:
-        return self.keys[tenant.name]
-
     def acknowledged(self, version: Version) -> None:
-        """Clients take the newest key of their tenants."""
-        for key, tenant in version.keys.items():
-            self.keys[tenant] = key
+        """Clients take the newest key of their tenants, once it is in force everywhere."""
+        self.later(self.deployment.bounds.apply, self._take_keys, version.keys)
+
+    def _take_keys(self, keys: dict[str, str]) -> None:
+        for key, tenant in keys.items():
+            if key != self.keys[tenant] and key not in self.old_keys.values():
+                self.old_keys[tenant], self.keys[tenant] = self.keys[tenant], key
 
     def work_of(self, path: str) -> float:
         return self.routes[path.split("/")[1]].work
@@ -284,10 +315,10 @@
         text = f"{server} {attempt} ".encode()
         return (text * (route.bytes_out // len(text) + 1))[:route.bytes_out]
 
-    def draw_tenant(self, rng: Random, route: Route) -> Tenant | None:
+    def draw_tenant(self, rng: Random) -> Tenant | None:
         if not self.deployment.tenants:
             return None
-        return rng.choices(self.deployment.tenants, [t.weight for t in self.deployment.tenants])[0]
+        return rng.choices(self.deployment.tenants, cum_weights=self.weights)[0]
 
     def factor(self, route: Route, tenant: Tenant | None) -> float:
         """By how much this route and tenant are asked for more than usual now."""
@@ -304,8 +335,8 @@
             world = self.world
             role, _, host = world.current.name.partition(":")
             told = " ".join(f"{name}={_text(value)}" for name, value in fields.items())
-            self.lines.append(f"level=INFO role={role} host={host.partition('/')[0]} t={EPOCH + world.now:.3f} "
-                              f"event={event} {told}".rstrip())
+            self.lines.append(f"level=INFO role={role} host={host.partition('/')[0]} "
+                              f"t={EPOCH + world.now:.3f} event={event} {told}".rstrip())
 
     # Running
 
@@ -313,8 +344,7 @@
         """Play the day."""
         begun = time.perf_counter()
         with worn(self.world, self.say):
-            self.world.run(self.load_ends)
-            self.world.run(self.load_ends + max((route.deadline for route in self.deployment.routes), default=0.0))
+            self.world.run(self.load_ends + max(route.deadline for route in self.deployment.routes))
             self.operator.read_back()
             self.world.run(self.world.now + self.day.after)
             self.judge.finish(self.operator.read)
--- a/folio/stacks/clients.py
+++ b/folio/stacks/clients.py
@@ -16,6 +16,7 @@
 MISSES = 2          # looks without 200 after which it gets no new connections
 KEPT = 64           # connections that a zone's clients keep
 KEEP_MOST = 4.0     # s that a kept connection is used again after
+OLD_KEY = 0.03      # part of the requests that come with a key that was taken away
 FINAL = frozenset((400, 401, 404, 413, 431))
 PROMISES = frozenset((429, 503, 408, 421))
 
@@ -63,16 +64,17 @@
     """What a client wants, over all its tries."""
 
     __slots__ = ("route", "tenant", "zone", "client", "born", "ends", "tries", "owed", "earned", "attempts",
-                 "answered_at", "refused", "key", "first_refused_at", "old_key")
+                 "answered_at", "refused", "key")
 
-    def __init__(self, route: Route, tenant: Tenant | None, zone: str, client: int, born: float, key: str) -> None:
+    def __init__(self, route: Route, tenant: Tenant | None, zone: str, client: int, born: float,
+                 key: str) -> None:
         self.route, self.tenant, self.zone, self.client = route, tenant, zone, client
         self.born, self.ends, self.tries = born, born + route.deadline, 0
         self.owed, self.earned = True, 0.0
         self.attempts: list[str] = []
         self.answered_at: float | None = None
         self.refused = False
-        self.key, self.old_key = key, False
+        self.key = key
 
 
 class Zone:
@@ -81,6 +83,9 @@
     def __init__(self, cell: Cell, name: str, share: float) -> None:
         self.cell, self.world, self.name, self.share = cell, cell.world, name, share
         self.rng = self.world.random(f"clients/{name}")
+        # Of its own, so that what becomes of requests changes nothing of what is asked.
+        self.arrivals = {route.name: self.world.random(f"arrivals/{name}/{route.name}")
+                         for route in cell.deployment.routes}
         self.process = cell.network.process(f"clients-{name}", f"10.240.{len(cell.client_zones)}.1")
         self.loop = self.process.loop
         self.kept: list[tuple[wire.Caller, Machine, float]] = []
@@ -97,22 +102,29 @@
         most = route.rate * self.share * self.cell.day.load * self.cell.most_factor
         if most <= 0.0:
             return
-        self.loop.call_later(self.rng.expovariate(most), self._arrive, route)
+        self.loop.call_later(self.arrivals[route.name].expovariate(most), self._arrive, route)
 
     def _arrive(self, route: Route) -> None:
         if self.world.now >= self.cell.load_ends:
             return
         self._next(route)
-        tenant = self.cell.draw_tenant(self.rng, route)
+        rng = self.arrivals[route.name]
+        tenant = self.cell.draw_tenant(rng)
         # Arrivals are drawn for the most that the day ever brings, and thinned.
-        if self.rng.random() * self.cell.most_factor < self.cell.factor(route, tenant):
+        if rng.random() * self.cell.most_factor < self.cell.factor(route, tenant):
             self.ask(route, tenant)
 
     def ask(self, route: Route, tenant: Tenant | None) -> None:
         cell = self.cell
-        ask = Ask(route, tenant, self.name, self.rng.getrandbits(24), self.world.now,
-                  cell.key_of(tenant) if tenant is not None and not route.public else "")
-        cell.judge.born(ask)
+        key = old = ""
+        if tenant is not None and not route.public:
+            key, old = cell.keys[tenant.name], cell.old_keys.get(tenant.name, "")
+        rng = self.arrivals[route.name]
+        ask = Ask(route, tenant, self.name, rng.getrandbits(24), self.world.now, key)
+        if old and rng.random() < OLD_KEY:
+            ask.key, ask.owed = old, False
+        else:
+            cell.judge.born(ask)
         self._try(ask)
 
     # Tries
--- a/folio/stacks/day.py
+++ b/folio/stacks/day.py
@@ -19,7 +19,7 @@
 
 
 class Zone(Struct):
-    """So many machines carry traffic here; the first `registries` of them serve control, `disks` have a disk."""
+    """So many machines carry traffic here; the first `registries` serve control, `disks` have a disk."""
 
     name: str
     machines: int = 2
@@ -31,9 +31,9 @@
     """The servers of one service.
 
     `queue`: requests that one holds beyond its slots. `full`: what it does with more: `503`, `reset` or
-    `silent`. `spread`: how far speeds differ (sigma of their logarithm). `cold`: s for which one is slow after
-    its start, by `cold_by`. `idle`: s that it keeps an unused connection. `steep`: how much slower it gets
-    when all its slots are in use.
+    `silent`. `spread`: how far speeds differ (sigma of their logarithm). `cold`: s for which one is slow
+    after its start, by `cold_by`. `idle`: s that it keeps an unused connection. `steep`: how much slower it
+    gets when all its slots are in use.
     """
 
     name: str
@@ -53,7 +53,8 @@
 class Route(Struct):
     """A route and what is asked on it: `rate` a second, `work` s of a server, `deadline` s of a client.
 
-    An answer within `target` s is worth `worth`, a later one `late`.  A client asks again up to `repeats` times.
+    An answer within `target` s is worth `worth`, a later one `late`.  A client asks again up to `repeats`
+    times.
     """
 
     name: str
@@ -150,8 +151,9 @@
 class Fault(Struct):
     """Something that goes wrong, or a change that is made, `at` s after the load begins, for `span` s.
 
-    `target` is a pattern of names (of machines, services, tenants or routes, as the kind asks), of which `count`
-    are drawn (0: all); `role` says which processes of a machine; `amount` and `to` depend on the kind.
+    `target` is a pattern of names (of machines, services, tenants or routes, as the kind asks), of which
+    `count` are drawn (0: all); `role` says which processes of a machine; `amount` and `to` go
+    with the kind.
     """
 
     kind: str
@@ -174,7 +176,7 @@
     after: float = 4.0      # s after the load in which the configuration is read back
     load: float = 1.0       # factor of all rates
     faults: list[Fault] = []
-    trace: list[tuple[float, str, str]] = []     # (s, route, tenant) in place of the rates, as a replay has it
+    trace: list[tuple[float, str, str]] = []     # (s, route, tenant) in place of the rates, for a replay
 
 
 def check(day: Day) -> Day:
--- a/folio/stacks/faults.py
+++ b/folio/stacks/faults.py
@@ -42,10 +42,11 @@
 
 
 def _servers(cell: Cell, fault: Fault) -> list[Server]:
-    def named(server: Server) -> bool:
-        return any(fnmatchcase(text, fault.target) for text in (server.id, server.service.name, server.zone))
+    def hit(server: Server) -> bool:
+        names = (server.id, server.service.name, server.zone)
+        return server.up and server.phase == "up" and any(fnmatchcase(name, fault.target) for name in names)
 
-    found = [server for server in cell.servers.values() if server.up and server.phase == "up" and named(server)]
+    found = [server for server in cell.servers.values() if hit(server)]
     if fault.count and len(found) > fault.count:
         found = cell.fault_rng.sample(found, fault.count)
     return found
@@ -302,12 +303,12 @@
 
 
 def revoke(cell: Cell, fault: Fault) -> None:
-    """Tenants get a new key; a second later the old one is taken away."""
+    """Tenants get a new key; the old one is taken away once clients have the new one."""
     for tenant in drawn(cell, cell.deployment.tenants, fault):
         old = cell.keys[tenant.name]
         new = f"{tenant.name}-{cell.fault_rng.getrandbits(48):012x}"
         _keys(cell, tenant.name, [old, new])
-        cell.later(0.5, _keys, cell, tenant.name, [new])
+        cell.later(cell.deployment.bounds.apply + 0.5, _keys, cell, tenant.name, [new])
 
 
 def _keys(cell: Cell, tenant: str, keys: list[str]) -> None:
@@ -325,6 +326,6 @@
 
 KINDS: dict[str, Callable[[Cell, Fault], None]] = {
     one.__name__: one for one in (
-        kill, stop, power, wipe, freeze, slow, clock, cut, link, disk_hang, disk_slow, disk_full, server_crash,
-        server_slow, lost_answers, garble, retire, release, load, lose_zone, config_shift, config_race,
-        config_split, config_grow, revoke, quota)}
+        kill, stop, power, wipe, freeze, slow, clock, cut, link, disk_hang, disk_slow, disk_full,
+        server_crash, server_slow, lost_answers, garble, retire, release, load, lose_zone, config_shift,
+        config_race, config_split, config_grow, revoke, quota)}
--- a/folio/stacks/guise.py
+++ b/folio/stacks/guise.py
@@ -30,13 +30,17 @@
         return int(self.time() * 1e9)
 
 
+def _unheard(part: str, text: str, *args: object) -> None:
+    """Complaints of the network code are not kept."""
+
+
 @contextmanager
 def worn(world: World, say: Callable[..., None]) -> Iterator[None]:
     """Within this, the daemons' code lives in `world`, and what it logs goes to `say(event, **fields)`."""
     told = VirtualTime(world)
-    places = [(clock, "monotonic", told.monotonic), (clock, "time", told.time), (clock, "time_ns", told.time_ns),
-              (logs, "say", say), (notice, "complain", lambda part, text, *args: None),
-              (backends, "complain", lambda part, text, *args: None)]
+    places = [(clock, "monotonic", told.monotonic), (clock, "time", told.time),
+              (clock, "time_ns", told.time_ns), (logs, "say", say),
+              (notice, "complain", _unheard), (backends, "complain", _unheard)]
     places += [(module, "time", told) for module in (backends, notice, server)]
     places += [(module, "select", Select) for module in (backends, server)]
     before = [(module, name, getattr(module, name)) for module, name, _ in places]
--- a/folio/stacks/operator.py
+++ b/folio/stacks/operator.py
@@ -40,8 +40,9 @@
         deployment = self.cell.deployment
         for route in deployment.routes:
             spec = {"vhost": self.cell.host, "prefix": f"/{route.name}/", "kind": route.kind,
-                    "timeout": f"{int(route.timeout * 1000)}ms", "target_time": f"{int(route.target * 1000)}ms",
-                    "prio": route.prio, "tries": route.tries, "public": route.public}
+                    "timeout": f"{int(route.timeout * 1000)}ms",
+                    "target_time": f"{int(route.target * 1000)}ms", "prio": route.prio,
+                    "tries": route.tries, "public": route.public}
             if route.split:
                 spec["split"] = [{"svc": name, "wt": wt} for name, wt in route.split.items()]
             else:
@@ -56,19 +57,19 @@
         self.items["limits", ""] = {"type": "limits", "meta": {}, "spec": {
             "hdr_bytes": 16384, "body_max_bytes": 1048576, "hdr": "3000ms", "idle": "15000ms"}}
         items = dict(self.items)
-        self._do(lambda: self._send("PUT", items, {}, {}))
+        self._do(lambda: self._send("PUT", items))
 
     def _set(self, kind: str, name: str, spec: dict[str, Any]) -> None:
         self.items[kind, name] = {"type": kind, "meta": {"name": name}, "spec": spec}
 
     # Changes
 
-    def change(self, upsert: dict[tuple[str, str], dict[str, Any]], remove: list[tuple[str, str]] = (),
-               race: bool = False) -> None:
-        """Change some items; with `race` another operator sends one on the same version in the same moment."""
+    def change(self, upsert: dict[tuple[str, str], dict[str, Any]],
+               remove: tuple[tuple[str, str], ...] = (), race: bool = False) -> None:
+        """Change some items; with `race` another operator sends a change on the same version at once."""
         items = {(kind, name): {"type": kind, "meta": {"name": name}, "spec": spec}
                  for (kind, name), spec in upsert.items()}
-        self._do(lambda: self._send("PATCH", items, list(remove), {}, race))
+        self._do(lambda: self._send("PATCH", items, remove, race))
 
     def spec(self, kind: str, name: str) -> dict[str, Any]:
         """A copy of an item as it is in force, for changing."""
@@ -83,7 +84,7 @@
             self.busy = True
             self.queue.pop(0)()
 
-    def _send(self, method: str, upsert: dict, remove: list | dict, _: dict, race: bool = False) -> None:
+    def _send(self, method: str, upsert: dict, remove: tuple = (), race: bool = False) -> None:
         rivals = 2 if race else 1
         parent = self.ver
         after = dict(self.items)
@@ -91,7 +92,7 @@
             after.pop(key, None)
         after.update(upsert)
         left = rivals
-        for rival in range(rivals):
+        for _ in range(rivals):
             self.last += 1 + self.rng.randrange(3)
             told: dict[str, Any] = {"ver": f"{self.last:08x}", "parent": f"{parent:08x}"}
             if method == "PUT":
@@ -161,7 +162,7 @@
         spec = item["spec"]
         if kind == "routes":
             split = spec.get("split")
-            routes[name] = frozenset(s["svc"] for s in split if s["wt"] > 0) if split else frozenset([spec["svc"]])
+            routes[name] = frozenset(s["svc"] for s in split or [spec | {"wt": 1}] if s["wt"] > 0)
         elif kind == "tenants":
             keys.update(dict.fromkeys(spec["apikeys"], name))
             rates[name] = (spec.get("rate_per_s") or 0.0, spec.get("burst") or 0.0)
--- /dev/null
+++ b/folio/stacks/replay.py
@@ -0,0 +1,58 @@
+"""What was asked on a day, out of the logs of its desks, as the load of another."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable
+from random import Random
+
+# A desk counts its requests by route and tenant and tells them in one line a span:
+#     event=asked span=5 counts=look-up/north-branch:12,borrow/south-branch:3
+ASKED = "asked"
+_PAIR = re.compile(r'([A-Za-z_][\w.-]*)=("(?:[^"\\]|\\.)*"|\S*)')
+_COUNT = re.compile(r"([^/,]+)/([^/:,]*):(\d{1,7})")
+
+
+class ReplayError(Exception):
+    """Logs that tell nothing of what was asked."""
+
+
+class Tally:
+    """Counts what is asked, for the line that a desk logs each span."""
+
+    def __init__(self) -> None:
+        self.counts: dict[tuple[str, str], int] = {}
+
+    def add(self, route: str, tenant: str) -> None:
+        key = (route, tenant)
+        self.counts[key] = self.counts.get(key, 0) + 1
+
+    def take(self) -> str:
+        """The counts as they stand in the log, which begin anew; empty if nothing was asked."""
+        told = ",".join(f"{route}/{tenant}:{count}" for (route, tenant), count in sorted(self.counts.items()))
+        self.counts.clear()
+        return told
+
+
+def trace(logs: Iterable[Iterable[str]], seed: int = 1) -> list[tuple[float, str, str]]:
+    """(s since the first, route, tenant) of every request that the logs tell of, in order.
+
+    Within its span a request is put anywhere.  Raises ReplayError.
+    """
+    rng, found = Random(seed), []
+    for lines in logs:
+        for line in lines:
+            if f"event={ASKED} " not in line:
+                continue
+            told = dict(_PAIR.findall(line))
+            try:
+                until, span = float(told["t"]), float(told["span"])
+            except (KeyError, ValueError):
+                continue
+            for route, tenant, count in _COUNT.findall(told.get("counts", "").strip('"')):
+                found += [(until - span * rng.random(), route, tenant) for _ in range(int(count))]
+    if not found:
+        raise ReplayError(f"no line tells event={ASKED} with t, span and counts")
+    found.sort()
+    begun = found[0][0]
+    return [(at - begun, route, tenant) for at, route, tenant in found]
--- a/folio/stacks/servers.py
+++ b/folio/stacks/servers.py
@@ -33,14 +33,14 @@
 class Job:
     """A request that a server has."""
 
-    __slots__ = ("connection", "attempt", "path", "method", "fields", "body", "ends", "running", "dropped", "kind")
+    __slots__ = ("connection", "attempt", "path", "method", "fields", "body", "ends", "running",
+                 "dropped")
 
     def __init__(self, connection: Connection, attempt: str, path: str, method: str,
                  fields: dict[bytes, bytes], body: bytes, ends: float) -> None:
         self.connection, self.attempt, self.path, self.method = connection, attempt, path, method
         self.fields, self.body, self.ends = fields, body, ends
         self.running = self.dropped = False
-        self.kind = None
 
 
 class Connection(asyncio.Protocol):
@@ -117,7 +117,8 @@
             return
         self.used_at = self.server.world.now
         lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}", *(f"{n}: {v}" for n, v in fields)]
-        lines.append("Connection: close" if last else f"Keep-Alive: timeout={max(1, int(self.server.service.idle))}")
+        kept = f"Keep-Alive: timeout={max(1, int(self.server.service.idle))}"
+        lines.append("Connection: close" if last else kept)
         self.transport.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
         if last:
             self.transport.close()
@@ -155,7 +156,8 @@
 
     # Requests
 
-    def take(self, connection: Connection, method: str, path: str, fields: dict[bytes, bytes], body: bytes) -> None:
+    def take(self, connection: Connection, method: str, path: str, fields: dict[bytes, bytes],
+             body: bytes) -> None:
         attempt = fields.get(b"x-attempt-id", b"").decode("latin-1")
         if fields.get(b"x-target-instance", self.id.encode()) != self.id.encode():
             return connection.answer(421, [("X-Not-Run", "1"), ("X-Attempt-Id", attempt)], b"")
@@ -309,7 +311,8 @@
             else:
                 self.loop.call_later(0.3, self._delete, tries + 1)
 
-        wire.fetch(self.process, at, wire.request("DELETE", at, f"/-/backends/{self.id}", []), BEAT_TIMEOUT, done)
+        data = wire.request("DELETE", at, f"/-/backends/{self.id}", [])
+        wire.fetch(self.process, at, data, BEAT_TIMEOUT, done)
 
     def end(self) -> None:
         """The process ends; nothing more is said."""
--- a/folio/stacks/wire.py
+++ b/folio/stacks/wire.py
@@ -22,7 +22,7 @@
 
 
 class Caller(asyncio.Protocol):
-    """A connection that asks, one request at a time; `done` gets the answer, or None where none came whole."""
+    """A connection that asks, one request at a time; `done` gets the answer, None where none came whole."""
 
     def __init__(self) -> None:
         self.transport = None
--- /dev/null
+++ b/tests/folio/test_charter.py
@@ -0,0 +1,425 @@
+"""The agreement: timelines with one column a machine, the model check, and noise on the wire."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from folio.charter import messages as wire
+from folio.charter.check import Disk, Ledger, Order, World, explore, run
+from folio.charter.errors import CharterError
+from folio.charter.messages import Ballot, Change, Voter, Voters, decode, encode
+from folio.charter.node import Node, Timing
+from folio.charter.records import Fresh, Learned, Persist, Saved, Send, Taken, Unclear
+from folio.charter.voters import propose, settle
+
+OUTCOMES = {"taken": Taken, "fresh": Fresh, "unclear": Unclear, "stale": "stale", "same": "same"}
+
+
+class Timeline:
+    """Plays a drawn timeline: a row is a moment (seconds), a column a machine.
+
+    put V/P  an operator sends version V built on P      read     an operator reads
+    taken, stale, same, fresh, unclear: what the last of these came to by now; open: nothing yet;
+    settled: taken, or another was
+    start, crash, wipe (crash and lose the disk)         cut, join  this machine's links
+    jam, free  its disk refuses writes or takes them     votes, out  whether it is a voter by now
+    """
+
+    def __init__(self, drawing: str, seed: int = 1, timing: Timing | None = None, founders: int = 3) -> None:
+        rows = [[cell.strip() for cell in line.split("|")] for line in drawing.strip().splitlines()]
+        self.machines = rows[0][1:]
+        self.world = World(seed, self.machines[:founders], timing=timing)
+        self.ticket: dict[str, str] = {}
+        for moment, *cells in rows[1:]:
+            self.world.run_until(float(moment))
+            for machine, cell in zip(self.machines, cells, strict=True):
+                for act in cell.split(", ") if cell else ():
+                    self._do(float(moment), machine, *act.split())
+
+    def _do(self, moment: float, machine: str, act: str, *details: str) -> None:
+        world = self.world
+        links = {frozenset((machine, other)) for other in self.machines if other != machine}
+        match act:
+            case "put":
+                ver, parent = map(int, details[0].split("/"))
+                self.ticket[machine] = f"{machine}@{moment}"
+                world.submit(machine, self.ticket[machine], Order(ver, parent))
+            case "read":
+                self.ticket[machine] = f"{machine}@{moment}"
+                world.read(machine, self.ticket[machine])
+            case "start":
+                world.start(machine)
+            case "crash" | "wipe":
+                world.crash(machine, lose_disk=act == "wipe")
+            case "cut":
+                world.cut |= links
+            case "join":
+                world.cut -= links
+            case "jam" | "free":
+                world.hosts[machine].disk.refuses = act == "jam"
+            case "votes" | "out":
+                voters = world.voters[max(world.chosen, default=0)]
+                name = world.hosts[machine].disk.content.id
+                assert (Voter(name, machine) in voters) is (act == "votes"), (moment, machine, voters)
+            case _:
+                self._expect(moment, machine, act, world.answers.get(self.ticket[machine]))
+
+    def _expect(self, moment: float, machine: str, act: str, outcome: object) -> None:
+        where = f"{machine} at {moment}: {outcome}, not {act}"
+        if act == "open":
+            assert outcome is None, where
+        elif act == "settled":
+            assert isinstance(outcome, Taken) or outcome in ("stale", "same"), where
+        else:
+            wanted = OUTCOMES[act]
+            assert outcome == wanted if isinstance(wanted, str) else isinstance(outcome, wanted), where
+
+
+class Timelines(unittest.TestCase):
+    def test_a_change_takes_two_round_trips_and_is_read_everywhere(self):
+        Timeline("""
+            time | m0      | m1    | m2
+            1.0  | put 1/0 |       |
+            1.03 | taken   | read  | read
+            1.05 |         | fresh | fresh
+        """)
+
+    def test_of_two_that_race_one_is_taken_and_both_hear_at_once(self):
+        for seed in range(20):
+            line = Timeline("""
+                time  | m0      | m1 | m2
+                1.0   | put 5/0 |    | put 7/0
+                1.2   | settled |    | settled
+            """, seed)
+            self.assertEqual(sorted(line.world.outcomes.items()), [("stale", 1), ("taken", 1)])
+
+    def test_only_the_greater_side_of_a_cut_takes_changes(self):
+        Timeline("""
+            time | m0           | m1      | m2
+            1.0  | cut          |         |
+            1.1  | put 1/0      | put 2/0 |
+            1.2  | open         | taken   |
+            2.0  | join         |         |
+            2.9  | stale, read  |         |
+            3.0  | fresh        |         |
+        """)
+
+    def test_what_a_dead_proposer_left_is_finished_by_the_others(self):
+        line = Timeline("""
+            time  | m0           | m1   | m2
+            1.0   | put 1/0      |      |
+            1.012 | crash        |      |
+            1.7   |              |      |
+        """, seed=3)
+        for machine in ("m1", "m2"):
+            self.assertEqual(line.world.hosts[machine].ledger.ver, 1)
+        self.assertEqual(line.world.answers, {})
+
+    def test_the_same_change_sent_again_elsewhere_is_taken_once(self):
+        line = Timeline("""
+            time  | m0      | m1      | m2
+            1.0   | put 1/0 |         |
+            1.002 |         | put 1/0 |
+            1.3   | settled | settled | put 1/0
+            1.4   |         |         | same
+        """)
+        changes = [entry for entry in line.world.chosen.values() if isinstance(entry, Change)]
+        self.assertEqual(len(changes), 1)
+
+    def test_all_lose_power_after_an_acknowledgement(self):
+        Timeline("""
+            time | m0      | m1    | m2
+            1.0  | put 1/0 |       |
+            1.03 | taken   |       |
+            1.03 | crash   | crash | crash
+            2.0  | start   | start | start
+            2.1  | read    | read  | read
+            2.5  | fresh   | fresh | fresh
+        """)
+
+    def test_one_loses_its_disk_and_the_others_power_after_an_acknowledgement(self):
+        Timeline("""
+            time | m0      | m1    | m2
+            1.0  | put 1/0 |       |
+            1.03 | taken   |       |
+            1.03 | wipe    | crash | crash
+            2.0  | start   | start | start
+            2.1  | read    | read  | read
+            2.9  | fresh, votes | fresh | fresh, put 2/1
+            3.0  |         |       | taken
+        """)
+
+    def test_a_wiped_machine_comes_back_under_a_new_name(self):
+        line = Timeline("""
+            time | m0      | m1   | m2
+            1.0  | put 1/0 | wipe |
+            1.1  | taken   |      |
+            1.5  |         | start |
+            2.5  |         | votes | wipe
+            3.0  | put 2/1 |       |
+            3.5  | taken   |       | start
+            4.5  |         | read  | votes
+            4.6  |         | fresh |
+        """)
+        names = [voter.id for voter in line.world.hosts["m0"].node.voters]
+        self.assertEqual(len(names), 3)
+        self.assertNotIn("genesis/m1", names)
+
+    def test_a_new_machine_takes_the_place_of_one_that_is_gone(self):
+        line = Timeline("""
+            time | m0   | m1      | m2 | m3
+            1.0  | wipe |         |    |
+            3.0  |      | put 1/0 |    | start
+            3.5  |      | taken   |    | votes
+        """)
+        self.assertEqual([v.addr for v in sorted(line.world.hosts["m1"].node.voters, key=lambda v: v.addr)],
+                         ["m1", "m2", "m3"])
+
+    def test_a_further_machine_is_added_and_a_dead_one_struck_off_again(self):
+        Timeline("""
+            time | m0    | m1 | m2   | m3
+            1.0  |       |    |      | start
+            1.8  | votes | votes | votes | votes
+            2.0  |       |    | wipe |
+            5.5  |       |    | out  | votes
+            5.6  | crash |    |      | put 1/0
+            5.9  |       |    |      | taken
+        """)
+
+    def test_one_cut_off_comes_back_as_the_voter_it_was(self):
+        Timeline("""
+            time | m0    | m1   | m2   | m3
+            1.0  |       |      |      | start
+            2.0  |       |      | cut  | votes
+            5.5  |       | put 1/0 | out  |
+            6.0  |       | taken   | join |
+            7.5  |       |      | votes, read |
+            7.6  |       |      | fresh |
+        """)
+
+    def test_a_disk_that_refuses_acknowledges_nothing(self):
+        Timeline("""
+            time | m0      | m1      | m2
+            1.0  | jam     |         |
+            1.1  | put 1/0 |         |
+            1.2  | taken   |         |
+            1.3  |         | jam     |
+            1.4  |         | put 2/1 |
+            5.5  |         | unclear |
+            5.6  |         | free    |
+            6.9  |         | put 3/1 |
+            7.5  |         | settled |
+            7.6  | crash   | crash   | crash
+            8.0  | free, start | start | start
+            8.1  | read    |         |
+            8.9  | fresh   |         |
+        """)
+
+    def test_who_is_far_behind_gets_the_state_instead_of_the_log(self):
+        puts = "\n".join(f"{2 + n / 10} | put {n}/{n - 1} | |" for n in range(1, 21))
+        line = Timeline(f"""
+            time | m0 | m1 | m2
+            1.0  |    |    | crash
+            {puts}
+            5.0  | taken | | start
+            6.0  |    |    | read
+            6.1  |    |    | fresh
+        """, timing=Timing(keep=4))
+        self.assertEqual(line.world.hosts["m2"].ledger.ver, 20)
+        self.assertLessEqual(len(line.world.hosts["m0"].node._log), 8)
+
+
+class Policy(unittest.TestCase):
+    def test_one_change_at_a_time(self):
+        a, b, c, d, new = (Voter(name, name) for name in ("a", "b", "c", "d", "new"))
+        reborn = Voter("a2", "a")
+        cases = [
+            ("nothing to do", [a, b, c], [], {}, [], None),
+            ("added", [a, b, c], [new], {}, [], [a, b, c, new]),
+            ("its old self goes", [a, b, c], [reborn], {}, [], [reborn, b, c]),
+            ("in place of the silent", [a, b, c], [new], {"c": 1.5}, [], [a, b, new]),
+            ("too few to strike off", [a, b, c], [], {"c": 9}, [], None),
+            ("struck off", [a, b, c, d], [], {"d": 9}, [], [a, b, c]),
+            ("not silent long enough", [a, b, c, d], [], {"d": 1.9}, [], None),
+            ("not added beside one in doubt", [a, b, c], [new], {"c": 1.0}, [], None),
+            ("no majority", [a, b, c, d], [new], {"c": 9, "d": 9}, [], None),
+            ("one that resigns", [a, b, c, d], [], {}, ["b"], [a, c, d]),
+            ("in place of one that resigns", [a, b, c], [new], {}, ["b"], [a, c, new]),
+            ("the last three stay", [a, b, c], [], {}, ["b"], None),
+        ]
+        for name, voters, knockers, silent, resigning, wanted in cases:
+            with self.subTest(name):
+                got = propose(voters, knockers, resigning, lambda x, s=silent: s.get(x, 0.0), 1, 0.7, 1.2, 2.0)
+                self.assertEqual(got, sorted(wanted) if wanted else None)
+        five = [a, b, c, d, new]
+        self.assertIsNone(propose(five, [], [], lambda x: 9.0 * (x == "d"), 2, 0.7, 1.2, 2.0))
+
+    def test_a_voter_without_a_disk_gives_way(self):
+        world = World(5, ["m0", "m1", "m2"])
+        world.hosts["m1"].node.voting = False
+        world.start("m3")
+        world.run_until(3.0)
+        self.assertEqual({voter.addr for voter in world.hosts["m0"].node.voters}, {"m0", "m2", "m3"})
+
+    def test_only_an_empty_disk_at_the_first_start_makes_a_founder(self):
+        seeds = ["b", "a", "c"]
+        for bootstrap, addr, founder in ((True, "a", True), (False, "a", False), (True, "d", False)):
+            disk = Disk()
+            durable = disk.load()
+            disk.write(settle(durable, addr, seeds, bootstrap, Random(1)))
+            self.assertEqual(disk.load().id == f"genesis/{addr}", founder)
+            self.assertEqual(disk.load().saved is not None, founder)
+            self.assertEqual(settle(disk.load(), addr, seeds, bootstrap, Random(2)), [])
+
+
+class Failures(unittest.TestCase):
+    def _node(self) -> Node:
+        disk = Disk()
+        durable = disk.load()
+        disk.write(settle(durable, "a", ["a", "b", "c"], True, Random(1)))
+        return Node(Voter(durable.id, "a"), durable, Ledger(), Random(2))
+
+    def test_what_could_not_be_written_goes_with_the_next_write(self):
+        node = self._node()
+        entry = Change("t", 1, 0, True, b"", "d")
+        (lost,) = [e for e in node.handle("b", wire.Chosen(1, [entry], 1), 1.0) if isinstance(e, Persist)]
+        node.failed(lost, 1.0)
+        (vote,) = [
+            e for e in node.handle("b", wire.Prepare(2, Ballot(1, "b")), 1.1) if isinstance(e, Persist)
+        ]
+        self.assertEqual(vote.records[0], Learned(1, entry))
+        self.assertEqual([type(send.message) for send in vote.then], [wire.Promise])
+
+    def test_a_lost_entry_is_not_voted_on_again(self):
+        disk = Disk()
+        disk.write([Saved(0, b"", [Voter(x, x) for x in "abc"], 1), Learned(1, wire.Nothing("t"))])
+        durable = disk.load()
+        durable.chosen.clear()
+        node = Node(Voter("a", "a"), durable, Ledger(), Random(2))
+        effects = node.handle("b", wire.Prepare(1, Ballot(9, "b")), 1.0)
+        self.assertEqual([e.message for e in effects if isinstance(e, Send)], [wire.Behind(1)])
+
+    def test_words_of_a_machine_under_another_name_do_not_count(self):
+        node = self._node()
+        node.submit("x", Order(1, 0).judge("t"), 1.0)
+        ballot = node._round.ballot
+        for stranger in ("genesis/z", "0123"):
+            node.handle("b", wire.Promise(1, ballot, stranger), 1.01)
+        self.assertIsInstance(node._round.message, wire.Prepare)
+
+    def test_after_a_freeze_nobody_is_struck_off(self):
+        world = World(1, ["m0", "m1", "m2"])
+        world.start("m3")
+        world.run_until(2.0)
+        node = world.hosts["m0"].node
+        node.tick(60.0)
+        self.assertIsNone(node._wanted())
+
+
+class Forgetful(Node):
+    """Votes for a ballot though it has promised a higher one."""
+
+    def _on_accept(self, sender, message, out):
+        if message.slot in self._votes:
+            self._votes[message.slot].promised = None
+        super()._on_accept(sender, message, out)
+
+
+class Hasty(Node):
+    """Says that it has voted before the disk does."""
+
+    def _persist(self, records, then, out):
+        out += then
+        super()._persist(records, [], out)
+
+
+class Credulous(Node):
+    """Takes what it knows for the newest."""
+
+    def _enqueue(self, ticket, judge, now, patience):
+        effects = super()._enqueue(ticket, judge, now, patience)
+        self._confirm(self._seq)
+        return effects
+
+
+class ModelCheck(unittest.TestCase):
+    def test_random_schedules(self):
+        report = run(range(150), 30)
+        self.assertEqual(report.violations, [])
+        self.assertGreater(report.outcomes["taken"], 500)
+        self.assertGreater(report.outcomes["stale"], 300)
+
+    def test_all_orders_of_a_small_case(self):
+        walk = explore(depth=9, timers=0)
+        self.assertEqual((walk.violations, walk.complete), ([], True))
+        walk = explore(depth=6, timers=1, losses=1, crashes=1)
+        self.assertEqual((walk.violations, walk.complete), ([], True))
+
+    def test_planted_faults_are_found(self):
+        self.assertTrue(explore(depth=8, timers=0, node_class=Forgetful).violations)
+        for faulty, seeds in ((Forgetful, 10), (Hasty, 60), (Credulous, 10)):
+            with self.subTest(faulty.__name__):
+                self.assertTrue(run(range(seeds), 30, faulty).violations)
+
+
+ENTRY = Change("t", 3, 2, False, b"{}", "d")
+BALLOT = Ballot(2, "n")
+SAMPLES = [
+    wire.Prepare(1, BALLOT),
+    wire.Promise(1, BALLOT, "genesis/b", Ballot(1, "m"), ENTRY),
+    wire.Refuse(1, BALLOT, "genesis/b", Ballot(5, "m")),
+    wire.Accept(1, BALLOT, Voters("t", [Voter("a", "b")])),
+    wire.Accepted(1, BALLOT, "genesis/b"),
+    wire.Decided(1, BALLOT),
+    wire.Chosen(1, [wire.Nothing("t"), Voters("v", [Voter("a", "a")])], 2),
+    wire.Behind(1),
+    wire.Snapshot(4, b"", [Voter("a", "b")]),
+    wire.Peek(1, 7),
+    wire.Peeked(1, 7, "genesis/b", True),
+    wire.Knock(Voter("x", "y"), 0),
+    wire.Resign(Voter("x", "y")),
+]
+
+
+class Noise(unittest.TestCase):
+    def test_every_message_comes_back_as_it_went(self):
+        self.assertEqual([decode(encode(sample)) for sample in SAMPLES], SAMPLES)
+
+    @settings(max_examples=300, deadline=None, derandomize=True, database=None)
+    @given(st.binary(max_size=60))
+    def test_random_bytes(self, data):
+        self._take(data)
+
+    @settings(max_examples=1200, deadline=None, derandomize=True, database=None)
+    @given(st.sampled_from(SAMPLES), st.integers(0, 10**6), st.integers(0, 7), st.booleans())
+    def test_damaged_messages_harm_no_one(self, sample, place, bit, shorten):
+        data = bytearray(encode(sample))
+        place %= len(data)
+        if shorten:
+            del data[place:]
+        else:
+            data[place] ^= 1 << bit
+        self._take(bytes(data))
+
+    def _take(self, data: bytes) -> None:
+        try:
+            message = decode(data)
+        except CharterError:
+            return
+        node = Failures()._node()
+        node.machine.apply = lambda slot, entry: None
+        node.machine.give = lambda state: None
+        node.submit("x", lambda _: ENTRY, 1.0)
+        try:
+            node.handle("b", message, 1.01)
+            node.tick(3.0)
+        except CharterError:
+            pass
+
+
+if __name__ == "__main__":
+    unittest.main()
