--- a/folio/stacks/judge.py
+++ b/folio/stacks/judge.py
@@ -279,6 +279,7 @@
     def finish(self, read_back: bytes | None) -> None:
         """Look at what can only be seen over the whole day."""
         self._check_config(read_back)
+        self._check_acks()
         self._check_budget()
         self._check_quotas()
         if self.denied > 5 + len(self.sents) / 500:
@@ -328,6 +329,13 @@
         else:
             self.broken("ACK", "no configuration was acknowledged")
 
+    def _check_acks(self) -> None:
+        for v in self.versions:
+            until = v.sent_at + self.bounds.ack
+            waits = v.acked_at is None and not v.refused and until < self.world.now
+            if (waits or (v.acked_at or 0.0) > until) and self.in_touch("", v.sent_at, until):
+                self.broken("ACK", f"{v.ver:08x} was not acknowledged within {self.bounds.ack:g} s of calm")
+
     def _acked(self, ver: int) -> float:
         return next(v.acked_at for v in self.versions if v.ver == ver)
 
--- a/folio/stacks/network.py
+++ b/folio/stacks/network.py
@@ -12,7 +12,7 @@
 import socket
 import struct
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from folio.stacks.loop import Process, World
 
@@ -263,13 +263,6 @@
         return (a in self.one and b in self.other) or (b in self.one and a in self.other)
 
 
-@dataclass
-class Traffic:
-    """Bytes carried, by (zone, zone)."""
-
-    between: dict[tuple[str, str], int] = field(default_factory=dict)
-
-
 class Network:
     """All machines' links."""
 
