Log what was asked, by route and tenant, in one line each five seconds

Cause: a replay needs what was asked of the daemons themselves; only the emulated desk told it. Change: the desk counts and logs it; the emulator runs the daemon as it is.

--- a/folio/circulation/daemon.py
+++ b/folio/circulation/daemon.py
@@ -17,6 +17,7 @@
 from folio.circulation.desk import Desk
 from folio.circulation.follower import Follower
 from folio.circulation.reader import Reader
+from folio.circulation.tally import SPAN
 from folio.lending.admission import PERIOD
 from folio.transport.http import Call, Caller
 
@@ -47,6 +48,7 @@
         self.listeners: list[asyncio.Server] = []
         self.stopping_since: float | None = None
         self.period_at = self.sweep_at = 0.0
+        self.asked_at = clock.monotonic() + SPAN
         self.stopped: asyncio.Future = loop.create_future()
 
     async def start(self) -> None:
@@ -86,6 +88,10 @@
             if now >= self.period_at:
                 self.period_at = now + PERIOD
                 self.desk.admission.period(now)
+            if now >= self.asked_at:
+                self.asked_at = now + SPAN
+                if counts := self.desk.tally.take():
+                    logs.say("asked", span=SPAN, counts=counts)
             if now >= self.sweep_at:
                 self.sweep_at = now + SWEEP
                 self.server.sweep()
--- a/folio/circulation/desk.py
+++ b/folio/circulation/desk.py
@@ -16,6 +16,7 @@
 from folio.circulation.clerk import Clerk, Draw, Give, Send, Wake
 from folio.circulation.dialect import ServerDialect, load_of
 from folio.circulation.reader import Asked
+from folio.circulation.tally import Tally
 from folio.lending.admission import Admission
 from folio.lending.budget import RetryBudget
 from folio.lending.slices import floor_rate
@@ -80,6 +81,7 @@
         self.backends = Backends(loop, connections, CONNECT_TIMEOUT, 2 * IDLE_MOST, 4.0,
                                  Budget(boot.limits.mem_mb), ServerDialect())
         self.table: Table | None = None
+        self.tally = Tally()
         self.tickets: dict[int, Ticket] = {}
         self.open_ids: set[bytes] = set()
         self.last_id = 0
@@ -148,6 +150,7 @@
         ticket = Ticket(self.last_id, asked, client, now + asked.time_left)
         self.tickets[ticket.id] = ticket
         self.open_ids.add(asked.txn)
+        self.tally.add(asked.route.name, asked.tenant)
         if asked.tenant and asked.tenant not in self.admission.tenants:
             # The configuration that knew the key is not the one in force any more.
             self._finish(ticket, lambda c: c.answered(401, [], b"the key is not known\n"))
--- /dev/null
+++ b/folio/circulation/tally.py
@@ -0,0 +1,21 @@
+"""What was asked of a desk, counted for the line that it logs each span and that a replay reads."""
+
+ASKED = "asked"
+SPAN = 5.0  # s that one line covers
+
+
+class Tally:
+    """Counts what is asked, for the line that a desk logs each span."""
+
+    def __init__(self) -> None:
+        self.counts: dict[tuple[str, str], int] = {}
+
+    def add(self, route: str, tenant: str) -> None:
+        key = (route, tenant)
+        self.counts[key] = self.counts.get(key, 0) + 1
+
+    def take(self) -> str:
+        """The counts as they stand in the log, which begin anew; empty if nothing was asked."""
+        told = ",".join(f"{route}/{tenant}:{count}" for (route, tenant), count in sorted(self.counts.items()))
+        self.counts.clear()
+        return told
--- a/folio/stacks/cell.py
+++ b/folio/stacks/cell.py
@@ -8,9 +8,7 @@
 from random import Random
 
 from folio import boot as boots
-from folio import logs
 from folio.circulation.daemon import Process as DeskDaemon
-from folio.circulation.reader import Asked
 from folio.registry.daemon import Registry
 from folio.stacks.clients import Platform, Zone
 from folio.stacks.day import Day, Route, Service, Tenant
@@ -21,13 +19,11 @@
 from folio.stacks.loop import EPOCH, Process, World
 from folio.stacks.network import Network
 from folio.stacks.operator import Operator
-from folio.stacks.replay import ASKED, Tally
 from folio.stacks.servers import Server
 
 HTTP, READYZ, CTL, PEERS = 8405, 8406, 8407, (7660, 7675)
 FIRST_CONFIG = 1.0      # s after the machines' start that the operator begins
 STAGGER = 0.3           # s within which the first processes start
-COUNTED = 5.0       # s of what is asked that one line tells
 KEPT_LINES = 200_000    # log lines that are kept where they are asked for
 
 
@@ -41,26 +37,6 @@
         super().__init__(process.loop, boot, None, rng)
 
 
-class CountedDesk(DeskDaemon):
-    """The daemon, telling in its log what is asked."""
-
-    def __init__(self, process: Process, boot: boots.Boot, rng: Random) -> None:
-        super().__init__(process.loop, boot, rng)
-        self.tally, admit = Tally(), self.desk.admit
-
-        def counted(client: object, asked: Asked) -> int:
-            self.tally.add(asked.route.name, asked.tenant)
-            return admit(client, asked)
-
-        self.desk.admit = counted
-        process.loop.call_later(COUNTED, self._tell)
-
-    def _tell(self) -> None:
-        if counts := self.tally.take():
-            logs.say(ASKED, span=COUNTED, counts=counts)
-        self.loop.call_later(COUNTED, self._tell)
-
-
 class Machine:
     """One machine: its processes, its disk and its clock."""
 
@@ -122,7 +98,7 @@
             if role == "registry":
                 daemon = MemoryRegistry(process, boot, self.platter, process.rng)
             else:
-                daemon = CountedDesk(process, boot, process.rng)
+                daemon = DeskDaemon(process.loop, boot, process.rng)
                 self.started.append(self.cell.world.now)
         except Exception as error:  # a process that can't start ends, whatever the reason
             self.cell.say("ended", error=repr(error))
--- a/folio/stacks/replay.py
+++ b/folio/stacks/replay.py
@@ -6,9 +6,10 @@
 from collections.abc import Iterable
 from random import Random
 
+from folio.circulation.tally import ASKED
+
 # A desk counts its requests by route and tenant and tells them in one line a span:
 #     event=asked span=5 counts=look-up/north-branch:12,borrow/south-branch:3
-ASKED = "asked"
 _PAIR = re.compile(r'([A-Za-z_][\w.-]*)=("(?:[^"\\]|\\.)*"|\S*)')
 _COUNT = re.compile(r"([^/,]+)/([^/:,]*):(\d{1,7})")
 
@@ -17,23 +18,6 @@
     """Logs that tell nothing of what was asked."""
 
 
-class Tally:
-    """Counts what is asked, for the line that a desk logs each span."""
-
-    def __init__(self) -> None:
-        self.counts: dict[tuple[str, str], int] = {}
-
-    def add(self, route: str, tenant: str) -> None:
-        key = (route, tenant)
-        self.counts[key] = self.counts.get(key, 0) + 1
-
-    def take(self) -> str:
-        """The counts as they stand in the log, which begin anew; empty if nothing was asked."""
-        told = ",".join(f"{route}/{tenant}:{count}" for (route, tenant), count in sorted(self.counts.items()))
-        self.counts.clear()
-        return told
-
-
 def trace(logs: Iterable[Iterable[str]], seed: int = 1) -> list[tuple[float, str, str]]:
     """(s since the first, route, tenant) of every request that the logs tell of, in order.
 
