--- a/folio/transport/messages.py
+++ b/folio/transport/messages.py
@@ -106,7 +106,7 @@
 
 
 class Out(Struct, tag="out"):
-    """Requests under way at servers: a desk's own, those of a registry's desks, or (to a desk) all there are."""
+    """Requests under way at servers: a desk's own, those of a registry's desks, or (to a desk) all."""
 
     whole: bool
     counts: dict[str, int]
--- a/tests/folio/test_registry.py
+++ b/tests/folio/test_registry.py
@@ -68,7 +68,7 @@
 
         def begin():
             registry = self.registries[name] = MemoryRegistry(process, self.boot(name, bootstrap),
-                                                              self.platters[name], Random(life))
+                                                              self.platters[name], Random(f"{name}/{life}"))
             process.loop.create_task(registry.start())
         process.loop.call_soon(begin)
 
