Choose servers by what they told, nearer ones first; drop the fleet's counts of work under way

Change: back to what a server told last, fading; a server in another zone costs 0.7 of the work (0.35 before), what it holds 0.5.

--- a/folio/circulation/clerk.py
+++ b/folio/circulation/clerk.py
@@ -25,8 +25,9 @@
 REST, REST_MOST = 0.25, 4.0     # s that a server rests after failures in a row: first, most
 FULL_REST = 0.05        # s that nothing more is sent to a server that turned a request away
 COLD = 2.0              # how much slower a server is taken for while it says that it warms up
-FAR = 0.35              # of the work of a request: the price of a server in another zone
-NOISE = 0.25            # random part of a cost, so that ingresses that know alike don't choose alike
+FAR = 0.7              # of the work of a request: the price of a server in another zone
+NOISE = 0.15            # random part of a cost, so that ingresses that know alike don't choose alike
+RISK = 0.5              # of a request's work: the price of each that a server holds though a slot is free
 WAITING = 6             # requests that a server is let have waiting, by what is known here, before we refuse
 HEDGE = 3.0             # usual times of an answer after which a repeatable request is sent once more
 TAIL_STEP, TAIL = 0.05, 0.04    # how the time that all but the slowest TAIL of answers take is followed
@@ -48,8 +49,6 @@
     usable: bool = True
     quiet: bool = False     # no sign of life has come to the registries
     out: int = 0            # our requests there
-    out_told: int = 0       # as last told to our registry
-    others: int | None = None   # those of all other ingresses, by the registries
     told: float = 0.0       # requests it held by its own word, ours of the moment left out
     told_at: float = -inf
     slow: float = 1.0       # its time for a piece of work against the others'
@@ -163,24 +162,6 @@
             server.usable = False
             self.services[server.svc].remove(server)
 
-    def loads(self, counts: dict[str, int], whole: bool) -> None:
-        """How many requests the whole fleet has under way at servers: those that changed, or all."""
-        if whole:
-            for server in self.servers.values():
-                server.others = 0
-        for ident, count in counts.items():
-            if (server := self.servers.get(ident)) is not None:
-                server.others = max(0, count - server.out_told)
-
-    def own_loads(self, whole: bool) -> dict[str, int]:
-        """What we have under way, to be told to our registry: what changed since, or all."""
-        counts = {}
-        for server in self.servers.values():
-            if server.out if whole else server.out != server.out_told:
-                counts[server.id] = server.out
-            server.out_told = server.out
-        return counts
-
     def silent(self, ids: list[str]) -> None:
         """The servers of which no sign of life has come for a while: all of them."""
         named = set(ids)
@@ -264,19 +245,18 @@
         return best
 
     def held(self, s: Server, now: float) -> float:
-        """Requests that a server holds, as far as can be told: what all ingresses have under way there.
+        """Requests that a server holds, as far as can be told: what it said, fading, and ours.
 
-        Where no registry tells: what the server said last, fading, and ours.
+        What all ingresses have under way, told over the fleet each 0.1 s, did worse: they see the same server
+        idle and all go there (docs/measured.md).
         """
-        if s.others is not None:
-            return s.others + s.out
         return max(s.out, s.told * 0.5 ** ((now - s.told_at) / LOAD_HALF) + s.out)
 
     def _cost(self, s: Server, held: float, work: float, now: float) -> float:
         slow = s.slow * (COLD if now < s.warm_at else 1.0)
         ahead = max(0.0, held + 1.0 - s.slots)
         # A server that is nearly full is a risk even where a slot is free: others choose it as well.
-        wait = work * (ahead + 0.3 * held) / s.slots
+        wait = work * (ahead + RISK * held) / s.slots
         cost = slow * (work + wait) + (FAR * work if s.az != self.az else 0.0)
         return cost * (1.0 + NOISE * self.rng.random())
 
--- a/folio/circulation/daemon.py
+++ b/folio/circulation/daemon.py
@@ -43,8 +43,6 @@
         self.follower = Follower(loop, boot, rng, self._on_table, self.desk.follow,
                                  self.desk.clerk.silent, self.desk.asks, self.desk.clerk.leaving)
         self.desk.reserve, self.desk.share = self.follower.draw, self.follower.share
-        self.follower.on_loads = self.desk.clerk.loads
-        self.follower.on_session = self._tell_all_loads
         self.listeners: list[asyncio.Server] = []
         self.stopping_since: float | None = None
         self.period_at = self.sweep_at = 0.0
@@ -75,16 +73,11 @@
             return call.reply(404)
         call.reply(200 if self.ready() else 503)
 
-    def _tell_all_loads(self) -> None:
-        self.follower.tell_loads(self.desk.clerk.own_loads(True), True)
-
     def _tick(self) -> None:
         now = clock.monotonic()
         try:
             self.desk.members = self.follower.members
             self.desk.slices(now)
-            if counts := self.desk.clerk.own_loads(False):
-                self.follower.tell_loads(counts, False)
             if now >= self.period_at:
                 self.period_at = now + PERIOD
                 self.desk.admission.period(now)
--- a/folio/circulation/follower.py
+++ b/folio/circulation/follower.py
@@ -43,8 +43,6 @@
         self.memory = Memory()
         self.known: dict[str, float] = {}   # registries, by when they may be tried again
         self.holdings: dict[str, Holdings] = {}
-        self.on_loads: Callable[[dict[str, int], bool], None] = lambda counts, whole: None
-        self.on_session: Callable[[], None] = lambda: None
         self.draws: dict[int, Callable[[int, float], None]] = {}
         self.last_draw = 0
         self.members = 0
@@ -117,7 +115,6 @@
             self.told_slot = -1
             link.send(m.Open(self.boot.hostname, self.life, self.hop, self.boot.az, self.slot, self.register,
                              self.place))
-            self.on_session()
         except (OSError, TimeoutError):
             self.known[addr] = clock.monotonic() + 0.4
         finally:
@@ -157,8 +154,6 @@
             holdings = self._holdings(message.key)
             if holdings.take(message.lease, now):
                 self._send_report(now)
-        elif kind is m.Out:
-            self.on_loads(message.counts, message.whole)
         elif kind is m.Drawn:
             if (done := self.draws.pop(message.number, None)) is not None:
                 done(message.given, message.wait)
@@ -210,11 +205,6 @@
         holdings = self.holdings.get(duty_of(tenant))
         return None if holdings is None else holdings.share(tenant, now)
 
-    def tell_loads(self, counts: dict[str, int], whole: bool) -> None:
-        """Tell the registry what is under way at servers."""
-        if self.link is not None:
-            self.link.send(m.Out(whole, counts))
-
     def draw(self, tenant: str, count: int, done: Callable[[int, float], None]) -> None:
         """Ask for requests of a tenant beyond our slice; `done` gets how many, and the wait for one more."""
         if self.link is None:
--- a/folio/registry/daemon.py
+++ b/folio/registry/daemon.py
@@ -20,7 +20,6 @@
 from folio import calls, clock, logs
 from folio.accession import quorum
 from folio.accession.digest import DigestOffer, RangeRecords, Repair
-from folio.accession.loads import Loads
 from folio.accession.register import AccessionError, Record, Register, check_id, parse_beat
 from folio.catalogue.structs import CatalogueError, parse_change, version_text
 from folio.charter import messages as charter
@@ -40,7 +39,6 @@
 from folio.transport.links import Dialer, Link, frame
 from folio.vault.store import Member, Note, Store
 
-LOADS = 0.1     # s between two tellings of what is under way at servers
 TICK, PING, TELL, REPAIR = 0.05, 0.25, 0.5, 1.0     # s between looks at what is due
 ANSWER = 0.85   # s within which a change of the configuration is answered; callers move on after one
 READ = 0.85     # s within which the configuration is read
@@ -84,7 +82,6 @@
         self.pending = quorum.Pending(self.me)
         self.roll = Roll(self.me, self.life)
         self.detector = Detector(PING)
-        self.own_loads, self.all_loads = Loads(), Loads()   # of our desks; ours and those of other registries
         self.duties = duties.Duties(self.me, self.rng, now, KEYS, remembered=self._granted())
         self.lenders: dict[str, Lender] = {}
         self.reserves: dict[str, Reserve] = {}
@@ -102,7 +99,7 @@
         self.quiet: list[str] = []
         self.saved_version = -1
         self.retirements = Retirements(self)
-        self.due = {"loads": 0.0, "ping": 0.0, "tell": 0.0, "repair": 0.0, "save": now + SAVE}
+        self.due = {"ping": 0.0, "tell": 0.0, "repair": 0.0, "save": now + SAVE}
         self.heard_mark = now
         self.timer: asyncio.TimerHandle | None = None
         self.servers: list[asyncio.Server] = []
@@ -239,7 +236,6 @@
             link.peer = addr
             link.send(hello)
             self.told_roll.pop(addr, None)
-            link.send(m.Out(True, self.own_loads.total))
             self._ping(addr, self.now())
             # Either of us may have been away: what was missed is not to wait for its turn.
             link.send(self.repair.offer(self.now()))
@@ -272,7 +268,6 @@
         if session is not None and session.link is link:
             del self.sessions[link.peer]
             self.roll.closed(session.desk, str(session.life), self.now())
-            self.own_loads.drop(session.desk)
             logs.say("session_closed", desk=session.desk)
         elif link.peer in self.dialers and not self.stopping:
             # What it said last may have come to some of us only.
@@ -354,8 +349,6 @@
         elif kind is m.Lent:
             if (session := self.sessions.get(message.desk)) is not None:
                 session.link.send(m.Slice(message.key, message.lease))
-        elif kind is m.Out:
-            self.all_loads.tell(addr, message.counts, message.whole)
         elif kind is m.Draw:
             self._post(addr, self._drawn(message, now))
         elif kind is m.Drawn:
@@ -399,9 +392,6 @@
         self._post_all(self.pending.again(now))
         for ticket in self.pending.expired(now):
             self._give_up(ticket)
-        if now >= self.due["loads"]:
-            self.due["loads"] = now + LOADS
-            self._tell_loads()
         if now >= self.due["ping"]:
             self.due["ping"] = now + PING
             self.detector.tick(now)
@@ -416,7 +406,6 @@
                 if (session := self.sessions.pop(desk, None)) is not None:
                     logs.say("session_lapsed", desk=desk)
                     session.link.close()
-            self.all_loads.keep({*live, self.me})
             self._mind_servers(now)
             self._forget_registries(now, voters)
         if now >= self.due["repair"]:
@@ -434,16 +423,6 @@
         self.duties.unsaved.clear()
         self.disk.write(notes, lambda ok: self._post_all(out) if ok else None)
 
-    def _tell_loads(self) -> None:
-        """What our desks have under way to the other registries, the totals to our desks."""
-        if own := self.own_loads.changes():
-            self.all_loads.tell(self.me, own)
-            self._broadcast(m.Out(False, own))
-        if changed := self.all_loads.changes():
-            data = frame(m.Out(False, changed))
-            for session in self.sessions.values():
-                session.link.write(data)
-
     def _tell_registries(self, now: float) -> None:
         heard = self.register.heard_since(self.heard_mark)
         self.heard_mark = now
@@ -558,7 +537,7 @@
         if old is not None:
             old.link.close()
         self.roll.opened(message.desk, str(message.life), now, message.hop, message.az)
-        link.send(m.Welcome(self.me, [self.me, *self._names(now)]), m.Out(True, self.all_loads.total))
+        link.send(m.Welcome(self.me, [self.me, *self._names(now)]))
         records = self.register.since(message.register, message.place, now)
         whole = records is None
         session.place = self.register.place[1]
@@ -583,8 +562,6 @@
             for key, held in message.held.items():
                 if key in KEYS:
                     self._lend(session, key, message.asks, held, now)
-        elif isinstance(message, m.Out):
-            self.own_loads.tell(session.desk, message.counts, message.whole)
         elif isinstance(message, m.Draw):
             holder = self.duties.holder_of(duty_of(message.tenant), now)
             if holder is None or holder == self.me:
--- a/folio/transport/messages.py
+++ b/folio/transport/messages.py
@@ -105,13 +105,6 @@
     ages: dict[str, float]
 
 
-class Out(Struct, tag="out"):
-    """Requests under way at servers: a desk's own, those of a registry's desks, or (to a desk) all."""
-
-    whole: bool
-    counts: dict[str, int]
-
-
 # Between a desk and its registry
 
 
@@ -208,7 +201,7 @@
 
 Message = (charter.Message | duties.Message | Hold | ReportHeld | DigestOffer | RangeRecords | SessionsTold
            | Hello | Ping | Rows | Heard | Ask | Lent | Open | Report | Bye | Welcome | State | Step | Servers
-           | Quiet | Pulse | Slice | Out | Draw | Drawn | Watch | Watched | Count | Leaving)
+           | Quiet | Pulse | Slice | Draw | Drawn | Watch | Watched | Count | Leaving)
 encode = msgspec.msgpack.Encoder().encode
 decode = msgspec.msgpack.Decoder(Message).decode
 
