Weigh waits by the mean work of a service; change duties' hands sooner and less often

Cause: a short lookup weighed what waits before it as if it were short too, and went to servers busy with long work; a duty whose holder died stood empty for 2.5 s, and its return emptied the reserve once more. Change: waits count by the mean work of the service; a lease of 1.4 s, renewed each 0.35 s; a holder that works keeps the key.

--- a/folio/circulation/clerk.py
+++ b/folio/circulation/clerk.py
@@ -20,6 +20,7 @@
 
 FIRST_GUESS = 0.3       # of a route's target: the time its work takes, before any answer
 LEARN, LEARN_SLOW = 0.15, 0.2   # weights of an answer in what a kind of work takes, and in a server's speed
+LEARN_MEAN = 0.03       # weight of a request in the mean work of its service
 FAST, SLOW = 0.4, 4.0   # bounds of a server's slowness against others
 LOAD_HALF = 0.25        # s for what a server told of its load to count half
 REST, REST_MOST = 0.25, 4.0     # s that a server rests after failures in a row: first, most
@@ -133,6 +134,7 @@
         self.servers: dict[str, Server] = {}
         self.services: dict[str, list[Server]] = {}
         self.kinds: dict[tuple[str, str], Kind] = {}
+        self.mean: dict[str, float] = {}    # s of work that a service's requests take on average
         self.tries: dict[int, Try] = {}
         self.dry: dict[str, float] = {}     # tenants whose reserve is empty, by when it is worth asking again
 
@@ -234,12 +236,13 @@
             if not t.route.safe:
                 well = [s for s in well if s.fails <= 1] or well
         kind = self.kind(t.svc, t.route)
+        mean = self.mean.get(t.svc, kind.work)
         best, least = None, inf
         for s in well:
             held = self.held(s, now)
             if held >= s.slots + WAITING and now - s.told_at < 1.0:
                 continue
-            cost = self._cost(s, held, kind.work, now)
+            cost = self._cost(s, held, kind.work, mean, now)
             if cost < least:
                 best, least = s, cost
         return best
@@ -252,11 +255,12 @@
         """
         return max(s.out, s.told * 0.5 ** ((now - s.told_at) / LOAD_HALF) + s.out)
 
-    def _cost(self, s: Server, held: float, work: float, now: float) -> float:
+    def _cost(self, s: Server, held: float, work: float, mean: float, now: float) -> float:
+        """Expected seconds there. What waits before it is work of any kind: a short one minds it more."""
         slow = s.slow * (COLD if now < s.warm_at else 1.0)
         ahead = max(0.0, held + 1.0 - s.slots)
         # A server that is nearly full is a risk even where a slot is free: others choose it as well.
-        wait = work * (ahead + RISK * held) / s.slots
+        wait = mean * (ahead + RISK * held) / s.slots
         cost = slow * (work + wait) + (FAR * work if s.az != self.az else 0.0)
         return cost * (1.0 + NOISE * self.rng.random())
 
@@ -378,6 +382,8 @@
         if status is Status.OK:
             kind, latency = self.kind(t.svc, t.route), now - sent
             s.fails, s.answered_at, s.quiet = 0, now, False
+            mean = self.mean.get(t.svc, kind.work)
+            self.mean[t.svc] = mean + LEARN_MEAN * (kind.work - mean)
             late = latency > kind.tail
             kind.tail *= 1.0 + TAIL_STEP * (late - TAIL)
             kind.tail = max(kind.tail, kind.work)
--- a/folio/rolls/duties.py
+++ b/folio/rolls/duties.py
@@ -77,13 +77,15 @@
 class DutyTerms(msgspec.Struct, frozen=True):
     """Figures of the duties, in seconds; the same on all registries."""
 
-    term: float = 2.0  # a grant holds so long, from when it was asked for
+    term: float = 1.4  # a grant holds so long, from when it was asked for
     margin: float = 0.1  # voters wait so much longer, for clocks that differ in speed by up to 2%
-    renew: float = 0.5
+    renew: float = 0.35
     again: float = 0.12  # a candidate asks again, as links may have just come up
     answer: float = 0.5  # a candidate gives up a round that has no majority by then
     backoff: float = 0.3  # the longest random pause before it tries again
-    settle: float = 1.0  # a holder gives a key up once it has not been the wanted one for so long
+    # A holder gives a key up once it has not been the wanted one for so long. Each change of hands begins with an
+    # empty reserve, so one that came back waits.
+    settle: float = 20.0
 
 
 class Vote(msgspec.Struct):
--- a/tests/folio/test_duties.py
+++ b/tests/folio/test_duties.py
@@ -4,9 +4,10 @@
 import unittest
 from random import Random
 
-from folio.rolls.duties import Duties, Granted, Refused, Release, Seek, wanted
+from folio.rolls.duties import Duties, DutyTerms, Granted, Refused, Release, Seek, wanted
 
 KEY = "quota/0"
+TERMS = DutyTerms(term=2.0, renew=0.5, settle=1.0)
 
 
 class World:
@@ -28,7 +29,7 @@
         return 1000.0 + self.now * self.speed[name]
 
     def up(self, name):
-        self.nodes[name] = Duties(name, Random(self.rng.random()), self.clock(name), [KEY])
+        self.nodes[name] = Duties(name, Random(self.rng.random()), self.clock(name), [KEY], TERMS)
 
     def die(self, name):
         self.nodes.pop(name, None)
@@ -202,17 +203,18 @@
         # 0.1  seeks      grants     grants
         # 0.2             seeks: refused until a term is over
         names = ["10.1.0.1:1", "10.1.0.2:1", "10.1.0.3:1"]
-        nodes = {name: Duties(name, Random(1), 0.0, [KEY], remembered={KEY: names[0]}) for name in names}
+        held = {KEY: names[0]}
+        nodes = {name: Duties(name, Random(1), 0.0, [KEY], TERMS, held) for name in names}
         seek = Seek(KEY, 7, 0, 2.0)
         for name in names[1:]:
             self.assertIsInstance(nodes[name].handle(names[0], seek, 0.1)[0][1], Granted)
             other = names[3 - names.index(name)]
             self.assertIsInstance(nodes[name].handle(other, seek, 0.2)[0][1], Refused)
-        lost = Duties(names[2], Random(1), 0.0, [KEY], remembered=None)
+        lost = Duties(names[2], Random(1), 0.0, [KEY], TERMS)
         self.assertIsInstance(lost.handle(names[0], seek, 0.1)[0][1], Refused)
 
     def test_a_new_holder_is_to_be_on_disk_before_it_hears_of_its_grant(self):
-        node = Duties("10.1.0.1:1", Random(1), 0.0, [KEY], remembered={})
+        node = Duties("10.1.0.1:1", Random(1), 0.0, [KEY], TERMS, remembered={})
         node.handle("10.1.0.2:1", Seek(KEY, 7, 0, 2.0), 0.1)
         self.assertEqual(node.unsaved, {KEY: "10.1.0.2:1"})
         node.unsaved.clear()
@@ -259,7 +261,7 @@
 
 class VoterTest(unittest.TestCase):
     def setUp(self):
-        self.voter = Duties("v", Random(1), 0.0, [KEY])
+        self.voter = Duties("v", Random(1), 0.0, [KEY], TERMS)
         self.voter.tick(0.0, {"v"}, {"v", "a", "b"})
 
     def test_a_voter_grants_nothing_in_its_first_term(self):
