--- a/tests/folio/test_duties.py
+++ b/tests/folio/test_duties.py
@@ -213,6 +213,12 @@
         lost = Duties(names[2], Random(1), 0.0, [KEY], TERMS)
         self.assertIsInstance(lost.handle(names[0], seek, 0.1)[0][1], Refused)
 
+    def test_after_a_restart_of_all_the_holder_before_seeks_though_another_is_wanted(self):
+        names = ranked(3)
+        nodes = {n: Duties(n, Random(1), 0.0, [KEY], TERMS, {KEY: names[2]}) for n in names}
+        asked = {n: nodes[n].tick(0.1, set(names), set(names)) for n in names}
+        self.assertTrue(any(isinstance(message, Seek) for _, message in asked[names[2]]))
+
     def test_a_new_holder_is_to_be_on_disk_before_it_hears_of_its_grant(self):
         node = Duties("10.1.0.1:1", Random(1), 0.0, [KEY], TERMS, remembered={})
         node.handle("10.1.0.2:1", Seek(KEY, 7, 0, 2.0), 0.1)
