Tell the fleet of servers that fail, shun them together, and try them with lookups alone

Cause: each desk found every dark or failing server for itself, again after every rest, and waited for orders there to the end. Change: desks complain after two failures in a row while others serve well; two complaints shun a server at all desks, up to a third of a service; one desk or another tries it with a repeatable request each 0.7 s; an answer another server gave long before counts as a failure. Fields of requests are sorted in one place for both readers.

--- a/fennelpoint/net/reader.py
+++ b/fennelpoint/net/reader.py
@@ -10,7 +10,7 @@
 from fennelpoint.net.backends import HOP_BY_HOP
 from fennelpoint.net.flow import Upload
 from fennelpoint.net.host import Asked
-from fennelpoint.net.server import BadRequest
+from fennelpoint.net.server import BadRequest, sort_fields
 
 MOST_LEFT_MS = 600_000  # ms; a longer wait is not meant
 MOST_CUSTOMER = 1 << 33
@@ -35,21 +35,8 @@
 
     def read(self, method: bytes, url: bytes, headers: list[tuple[bytes, bytes]],
              body: bytes | Upload) -> Asked:
-        found: dict[bytes, bytes] = {}
-        options: set[bytes] = set()     # fields that are for this connection only, by the client's word
-        lines = [method + b" " + url + b" HTTP/1.1"]
-        for name, value in headers:
-            if name in ROUTING:
-                if name in found:   # which of them counts would be anybody's guess
-                    raise BadRequest(f"{name.decode()} is given twice")
-                found[name] = value
-            elif name == b"connection":
-                options.update(word.strip().lower() for word in value.split(b","))
-            if name not in NOT_PASSED_ON:
-                lines.append(name + b": " + value)
-        if options:
-            options -= {b"x-txn", b"host"}
-            lines[1:] = [line for line in lines[1:] if line.partition(b":")[0] not in options]
+        found, lines = sort_fields(method + b" " + url + b" HTTP/1.1", headers, ROUTING, NOT_PASSED_ON,
+                                   frozenset((b"x-txn", b"host")))
         self._needed(found, b"host")
         txn = self._needed(found, b"x-txn")
         if ID.fullmatch(txn) is None:
--- a/fennelpoint/net/server.py
+++ b/fennelpoint/net/server.py
@@ -65,6 +65,31 @@
         self.status, self.headers = status, headers
 
 
+def sort_fields(first: bytes, headers: list[tuple[bytes, bytes]], once: frozenset[bytes],
+                dropped: frozenset[bytes], kept: frozenset[bytes]) -> tuple[dict[bytes, bytes], list[bytes]]:
+    """The fields that the routing goes by, and the lines that go on, the `first` one included.
+
+    A field of `once` may be given once.  What is `dropped`, or named by `Connection`, does not go on, but for
+    what is `kept`.  Raises BadRequest.
+    """
+    found: dict[bytes, bytes] = {}
+    options: set[bytes] = set()     # fields that are for this connection only, by the client's word
+    lines = [first]
+    for name, value in headers:
+        if name in once:
+            if name in found:   # which of them counts would be anybody's guess
+                raise BadRequest(f"{name.decode()} is given twice")
+            found[name] = value
+        elif name == b"connection":
+            options.update(word.strip().lower() for word in value.split(b","))
+        if name not in dropped:
+            lines.append(name + b": " + value)
+    if options:
+        options -= kept
+        lines[1:] = [line for line in lines[1:] if line.partition(b":")[0] not in options]
+    return found, lines
+
+
 @dataclass(slots=True, eq=False)
 class Turn:
     """What is to be answered in its turn: a request, a fault, or the path that asks whether we are ready."""
--- a/folio/circulation/clerk.py
+++ b/folio/circulation/clerk.py
@@ -23,6 +23,9 @@
 LEARN_MEAN = 0.03       # weight of a request in the mean work of its service
 FAST, SLOW = 0.4, 4.0   # bounds of a server's slowness against others
 LOAD_HALF = 0.25        # s for what a server told of its load to count half
+COMPLAIN, SERVED_LATELY = 2, 1.0    # failures in a row that are told the fleet; s since others served us well
+TRIAL = 0.7             # s between two trials of a shunned server, by all ingresses together
+LOST = 2.0              # slowest usual times after which an answer that another server gave is taken for lost
 REST, REST_MOST = 0.25, 4.0     # s that a server rests after failures in a row: first, most
 FULL_REST = 0.05        # s that nothing more is sent to a server that turned a request away
 COLD = 2.0              # how much slower a server is taken for while it says that it warms up
@@ -53,6 +56,9 @@
     told: float = 0.0       # requests it held by its own word, ours of the moment left out
     told_at: float = -inf
     slow: float = 1.0       # its time for a piece of work against the others'
+    shunned: bool = False   # the fleet complains of it
+    try_at: float = inf     # when we try whether it is well again
+    complained: bool = False    # we have, and have not been served since
     fails: int = 0          # in a row
     failed_at: float = -inf
     rest_until: float = 0.0     # after failures
@@ -136,6 +142,9 @@
         self.kinds: dict[tuple[str, str], Kind] = {}
         self.mean: dict[str, float] = {}    # s of work that a service's requests take on average
         self.tries: dict[int, Try] = {}
+        self.news: dict[str, bool] = {}
+        self.ingresses = 1
+        self.served_at = -inf   # when a server has last served us
         self.dry: dict[str, float] = {}     # tenants whose reserve is empty, by when it is worth asking again
 
     # What the registries tell
@@ -164,6 +173,23 @@
             server.usable = False
             self.services[server.svc].remove(server)
 
+    def shun(self, ids: list[str], now: float) -> None:
+        """The servers that the fleet complains of: all of them."""
+        named = set(ids)
+        for server in self.servers.values():
+            if server.id in named and not server.shunned:
+                self._plan_trial(server, now)
+            server.shunned = server.id in named
+
+    def _plan_trial(self, s: Server, now: float) -> None:
+        """One ingress or another tries it each TRIAL seconds."""
+        s.try_at = now + self.rng.expovariate(1.0 / (TRIAL * self.ingresses))
+
+    def ill_news(self) -> dict[str, bool]:
+        """Servers to complain of (True), and those that have served us since (False); told once each."""
+        news, self.news = self.news, {}
+        return news
+
     def silent(self, ids: list[str]) -> None:
         """The servers of which no sign of life has come for a while: all of them."""
         named = set(ids)
@@ -229,7 +255,12 @@
         if not able:
             return None
         able = [s for s in able if now >= s.full_until]
-        well = [s for s in able if now >= s.rest_until and not s.quiet]
+        if t.route.safe and t.attempts == 0 and t.route.tries > 1:
+            for s in able:
+                if s.shunned and now >= s.try_at:
+                    self._plan_trial(s, now)
+                    return s    # what may be repeated finds out whether it is back
+        well = [s for s in able if now >= s.rest_until and not (s.quiet or s.shunned)]
         if not well:
             # All rest or are silent: what may be repeated finds out whether one is back.
             well = [s for s in able if not s.quiet] or able
@@ -283,6 +314,8 @@
                 other.out -= 1
                 ratio = min(SLOW, (now - begun) / self.kind(t.svc, t.route).work)
                 other.slow = max(other.slow, other.slow + LEARN_SLOW * (ratio - other.slow))
+                if now - begun > LOST * self.kind(t.svc, t.route).tail and begun >= other.failed_at:
+                    self._fail(other, now)
             del self.tries[number]
             return [Give(number, 0, answer=answer)]
         if status not in (Status.CONNECT_FAILED, Status.MOOT):
@@ -381,7 +414,10 @@
             s.told, s.told_at, s.slots = max(0, load[0] + load[1] - 1 - s.out), now, max(1, load[2])
         if status is Status.OK:
             kind, latency = self.kind(t.svc, t.route), now - sent
-            s.fails, s.answered_at, s.quiet = 0, now, False
+            s.fails, s.answered_at, s.quiet, self.served_at = 0, now, False, now
+            if s.complained or s.shunned:
+                s.complained, s.shunned = False, False
+                self.news[s.id] = False
             mean = self.mean.get(t.svc, kind.work)
             self.mean[t.svc] = mean + LEARN_MEAN * (kind.work - mean)
             late = latency > kind.tail
@@ -401,4 +437,6 @@
 
     def _fail(self, s: Server, now: float) -> None:
         s.fails, s.failed_at = s.fails + 1, now
+        if s.fails >= COMPLAIN and now - self.served_at < SERVED_LATELY:
+            s.complained = self.news[s.id] = True
         s.rest_until = now + min(REST_MOST, REST * 2.0 ** (s.fails - 1))
--- a/folio/circulation/daemon.py
+++ b/folio/circulation/daemon.py
@@ -43,6 +43,7 @@
         self.follower = Follower(loop, boot, rng, self._on_table, self.desk.follow,
                                  self.desk.clerk.silent, self.desk.asks, self.desk.clerk.leaving)
         self.desk.reserve, self.desk.share = self.follower.draw, self.follower.share
+        self.follower.on_shun = lambda ids: self.desk.clerk.shun(ids, clock.monotonic())
         self.listeners: list[asyncio.Server] = []
         self.stopping_since: float | None = None
         self.period_at = self.sweep_at = 0.0
@@ -78,6 +79,9 @@
         try:
             self.desk.members = self.follower.members
             self.desk.slices(now)
+            self.desk.clerk.ingresses = max(1, self.follower.members)
+            if news := self.desk.clerk.ill_news():
+                self.follower.complain(news)
             if now >= self.period_at:
                 self.period_at = now + PERIOD
                 self.desk.admission.period(now)
--- a/folio/circulation/follower.py
+++ b/folio/circulation/follower.py
@@ -43,6 +43,7 @@
         self.memory = Memory()
         self.known: dict[str, float] = {}   # registries, by when they may be tried again
         self.holdings: dict[str, Holdings] = {}
+        self.on_shun: Callable[[list[str]], None] = lambda ids: None
         self.draws: dict[int, Callable[[int, float], None]] = {}
         self.last_draw = 0
         self.members = 0
@@ -154,6 +155,8 @@
             holdings = self._holdings(message.key)
             if holdings.take(message.lease, now):
                 self._send_report(now)
+        elif kind is m.Shun:
+            self.on_shun(message.ids)
         elif kind is m.Drawn:
             if (done := self.draws.pop(message.number, None)) is not None:
                 done(message.given, message.wait)
@@ -205,6 +208,11 @@
         holdings = self.holdings.get(duty_of(tenant))
         return None if holdings is None else holdings.share(tenant, now)
 
+    def complain(self, news: dict[str, bool]) -> None:
+        """Tell the fleet of servers that fail, or do no more."""
+        if self.link is not None:
+            self.link.send(m.Ill(self.boot.hostname, news))
+
     def draw(self, tenant: str, count: int, done: Callable[[int, float], None]) -> None:
         """Ask for requests of a tenant beyond our slice; `done` gets how many, and the wait for one more."""
         if self.link is None:
--- a/folio/circulation/reader.py
+++ b/folio/circulation/reader.py
@@ -7,7 +7,7 @@
 
 from fennelpoint.net.backends import HOP_BY_HOP
 from fennelpoint.net.flow import Upload
-from fennelpoint.net.server import BadRequest
+from fennelpoint.net.server import BadRequest, sort_fields
 from folio.catalogue.routing import Route, Table
 
 ID = re.compile(rb"[!-~]{1,200}")
@@ -18,6 +18,7 @@
                     b"transfer-encoding"))
 # What only we may tell a server, what concerns one connection only, and the key, which is the client's alone.
 NOT_PASSED_ON = HOP_BY_HOP | {b"expect", b"x-time-left", b"authorization", b"x-tenant", b"x-target-instance"}
+KEPT = frozenset((b"x-attempt-id", b"host"))     # whatever a client's `Connection` names
 
 
 @dataclass(slots=True, eq=False)
@@ -51,21 +52,7 @@
              body: bytes | Upload) -> Asked:
         """Raises BadRequest with the status that refuses it."""
         table = self.table
-        found: dict[bytes, bytes] = {}
-        options: set[bytes] = set()
-        lines = [method + b" " + url + b" HTTP/1.1"]
-        for name, value in headers:
-            if name in SINGLE:
-                if name in found:   # which of them counts would be anybody's guess
-                    raise BadRequest(f"{name.decode()} is given twice")
-                found[name] = value
-            elif name == b"connection":
-                options.update(word.strip().lower() for word in value.split(b","))
-            if name not in NOT_PASSED_ON:
-                lines.append(name + b": " + value)
-        if options:
-            options -= {b"x-attempt-id", b"host"}
-            lines[1:] = [line for line in lines[1:] if line.partition(b":")[0] not in options]
+        found, lines = sort_fields(method + b" " + url + b" HTTP/1.1", headers, SINGLE, NOT_PASSED_ON, KEPT)
         if table is None or table.ver == 0:
             raise BadRequest("no configuration has come yet", 503, AGAIN)
         if not (host := found.get(b"host")):
--- a/folio/registry/daemon.py
+++ b/folio/registry/daemon.py
@@ -33,6 +33,7 @@
 from folio.registry.retirements import Retirements
 from folio.rolls import duties
 from folio.rolls.detector import Detector
+from folio.rolls.ills import Ills
 from folio.rolls.sessions import Roll, SessionsTold
 from folio.transport import messages as m
 from folio.transport.http import Call, Caller
@@ -97,6 +98,7 @@
         self.waiting: dict[object, tuple] = {}   # calls that wait for agreement or a majority
         self.tickets = 0
         self.quiet: list[str] = []
+        self.ills, self.shunned = Ills(), []
         self.saved_version = -1
         self.retirements = Retirements(self)
         self.due = {"ping": 0.0, "tell": 0.0, "repair": 0.0, "save": now + SAVE}
@@ -349,6 +351,9 @@
         elif kind is m.Lent:
             if (session := self.sessions.get(message.desk)) is not None:
                 session.link.send(m.Slice(message.key, message.lease))
+        elif kind is m.Ill:
+            self.ills.tell(message.desk, message.news, now)
+            self._mind_ills(now)
         elif kind is m.Draw:
             self._post(addr, self._drawn(message, now))
         elif kind is m.Drawn:
@@ -407,6 +412,8 @@
                     logs.say("session_lapsed", desk=desk)
                     session.link.close()
             self._mind_servers(now)
+            if self.shunned:
+                self._mind_ills(now)
             self._forget_registries(now, voters)
         if now >= self.due["repair"]:
             self.due["repair"] = now + REPAIR * self.rng.uniform(0.8, 1.2)
@@ -444,6 +451,18 @@
             for session in self.sessions.values():
                 session.link.write(data)
 
+    def _mind_ills(self, now: float) -> None:
+        """Tell the desks which servers the fleet shuns, when that changes."""
+        view = self.register.view(now)
+        services = {svc: [record.id for record in records] for svc, records in view.items()}
+        shunned = self.ills.shunned(services, now)
+        if shunned != self.shunned:
+            logs.say("shunned", servers=",".join(shunned))
+            self.shunned = shunned
+            data = frame(m.Shun(shunned))
+            for session in self.sessions.values():
+                session.link.write(data)
+
     def _forget_registries(self, now: float, voters: set[str]) -> None:
         for addr, at in list(self.heard_at.items()):
             if now - at > FORGET_REGISTRY and addr not in voters and addr not in self.boot.seeds:
@@ -542,7 +561,7 @@
         whole = records is None
         session.place = self.register.place[1]
         rows = self.register.snapshot(now) if whole else records
-        link.send(m.Servers(self.life, session.place, whole, rows), m.Quiet(self.quiet))
+        link.send(m.Servers(self.life, session.place, whole, rows), m.Quiet(self.quiet), m.Shun(self.shunned))
         # Servers first: a large configuration takes a while to come, and some of them may have left.
         session.slot = message.slot
         self._catch_up(session)
@@ -562,6 +581,10 @@
             for key, held in message.held.items():
                 if key in KEYS:
                     self._lend(session, key, message.asks, held, now)
+        elif isinstance(message, m.Ill):
+            self.ills.tell(session.desk, message.news, now)
+            self._broadcast(m.Ill(session.desk, message.news))
+            self._mind_ills(now)
         elif isinstance(message, m.Draw):
             holder = self.duties.holder_of(duty_of(message.tenant), now)
             if holder is None or holder == self.me:
--- a/folio/rolls/duties.py
+++ b/folio/rolls/duties.py
@@ -83,8 +83,8 @@
     again: float = 0.12  # a candidate asks again, as links may have just come up
     answer: float = 0.5  # a candidate gives up a round that has no majority by then
     backoff: float = 0.3  # the longest random pause before it tries again
-    # A holder gives a key up once it has not been the wanted one for so long. Each change of hands begins with
-    # an empty reserve, so one that came back waits.
+    # A holder gives a key up once it has not been the wanted one for so long. Each change of hands begins
+    # with an empty reserve, so one that came back waits.
     settle: float = 20.0
 
 
--- a/folio/transport/messages.py
+++ b/folio/transport/messages.py
@@ -105,6 +105,19 @@
     ages: dict[str, float]
 
 
+class Ill(Struct, tag="ill"):
+    """A desk complains of servers that fail (True), or has been served by them again (False)."""
+
+    desk: str
+    news: dict[str, bool]
+
+
+class Shun(Struct, tag="shun"):
+    """All servers that the fleet complains of."""
+
+    ids: list[str]
+
+
 # Between a desk and its registry
 
 
@@ -201,7 +214,7 @@
 
 Message = (charter.Message | duties.Message | Hold | ReportHeld | DigestOffer | RangeRecords | SessionsTold
            | Hello | Ping | Rows | Heard | Ask | Lent | Open | Report | Bye | Welcome | State | Step | Servers
-           | Quiet | Pulse | Slice | Draw | Drawn | Watch | Watched | Count | Leaving)
+           | Quiet | Pulse | Slice | Ill | Shun | Draw | Drawn | Watch | Watched | Count | Leaving)
 encode = msgspec.msgpack.Encoder().encode
 decode = msgspec.msgpack.Decoder(Message).decode
 
--- /dev/null
+++ b/tests/folio/test_ills.py
@@ -0,0 +1,105 @@
+"""Ill servers by complaints of the fleet, and what a desk does with a server that is shunned."""
+
+import unittest
+from random import Random
+
+from fennelpoint.interface import Status
+from folio.accession.register import Record
+from folio.catalogue.routing import Route
+from folio.circulation.clerk import Clerk, Send
+from folio.lending.admission import Admission
+from folio.lending.budget import RetryBudget
+from folio.rolls.ills import LASTS, Ills
+
+SERVICES = {"shelves": ["s1", "s2", "s3", "s4", "s5", "s6"]}
+
+
+class IllsTest(unittest.TestCase):
+    def play(self, timeline):
+        """Rows: time, one column a desk (`-s1` complains, `+s1` was served), then what is shunned."""
+        ills = Ills()
+        head, *rows = [line.split() for line in timeline.strip().splitlines()]
+        for row in rows:
+            now = float(row[0])
+            for desk, word in zip(head[1:-1], row[1:-1], strict=True):
+                if word != ".":
+                    ills.tell(desk, {word[1:]: word[0] == "-"}, now)
+            wanted = [] if row[-1] == "none" else row[-1].split(",")
+            self.assertEqual(ills.shunned(SERVICES, now), wanted, row)
+
+    def test_two_complaints_shun_and_one_success_anywhere_ends_it(self):
+        self.play("""
+            t    d1   d2   d3   shunned
+            0    -s1  .    .    none
+            0.2  .    -s1  .    s1
+            1    .    .    -s1  s1
+            2    .    .    +s1  none
+            3    -s1  .    .    none
+        """)
+
+    def test_one_desk_alone_shuns_nothing_however_often_it_complains(self):
+        self.play("""
+            t    d1   d2   shunned
+            0    -s1  .    none
+            1    -s1  .    none
+            2    -s2  .    none
+        """)
+
+    def test_complaints_that_nobody_repeats_end(self):
+        self.play(f"""
+            t          d1   d2   shunned
+            0          -s1  -s1  s1
+            {LASTS}    .    .    s1
+            {LASTS + 0.1} . .    none
+        """)
+
+    def test_no_more_than_a_third_of_a_service_is_shunned(self):
+        self.play("""
+            t    d1   d2   d3   shunned
+            0    -s1  -s1  -s1  s1
+            1    -s2  -s2  .    s1,s2
+            2    -s3  -s3  -s3  s1,s3
+        """)
+
+
+class DeskTest(unittest.TestCase):
+    def setUp(self):
+        rng = Random(5)
+        admission = Admission(0.0, rng)
+        self.clerk = Clerk("a", admission, RetryBudget(0.2, 10.0, 60.0, 0.0, 1, False), rng)
+        records = [Record(f"s{n}", "shelves", f"10.0.0.{n}:80", "a", "v1", 2) for n in range(1, 5)]
+        self.clerk.follow(records, True, 0.0)
+        self.number = 0
+
+    def ask(self, now, safe=True):
+        self.number += 1
+        route = Route("r", b"h", b"/", safe, 2.0, 0.4, 1, (("shelves", 1.0),), 3, True, (1.0,))
+        out = self.clerk.arrive(self.number, route, "", 2.0, now)
+        return next(action.server.id for action in out if isinstance(action, Send))
+
+    def test_what_is_shunned_gets_no_orders_and_only_now_and_then_a_lookup(self):
+        self.clerk.shun(["s1"], 0.0)
+        at = 0.0
+        tried = 0
+        for _ in range(400):
+            at += 0.02
+            server = self.ask(at)
+            tried += server == "s1"
+            self.clerk.outcome(self.number, 0, Status.OK, None, at + 0.01)
+            self.assertNotEqual(self.ask(at, safe=False), "s1")
+            self.clerk.outcome(self.number, 0, Status.OK, None, at + 0.01)
+            if server == "s1":
+                break
+        self.assertEqual(tried, 1)
+        self.assertEqual(self.clerk.ill_news(), {"s1": False})
+
+    def test_failures_in_a_row_are_told_only_while_others_serve_well(self):
+        for n in range(4):
+            server = self.clerk.servers["s2"]
+            self.clerk._fail(server, n * 1.0)
+        self.assertEqual(self.clerk.ill_news(), {})     # nothing has been served: it may be us
+        self.ask(4.0)
+        self.clerk.outcome(self.number, 0, Status.OK, None, 4.1)
+        self.clerk._fail(self.clerk.servers["s2"], 4.2)
+        self.assertEqual(self.clerk.ill_news(), {"s2": True})
+        self.assertEqual(self.clerk.ill_news(), {})
