Name only tenants that ask in reports, and leave slices too thin to use in the reserve

Cause: each of 96 desks named all 88 tenants twice a second and got a share of each, 1.7 MB/s in all, two thirds of it relayed between registries: most of what crosses zones. Change: a desk reports what is asked of it; the giver knows the tenants from the configuration and lends nothing under 0.05 requests a second to a desk that is not asked. folio scale counts such costs.

--- a/folio/circulation/desk.py
+++ b/folio/circulation/desk.py
@@ -136,10 +136,11 @@
                                         extra=min(EXTRA_MOST, EXTRA_PART * spare / desks))
 
     def asks(self) -> dict[str, float]:
-        """Asks by tenant for the slices; tenants that ask nothing are named too."""
+        """Asks a second by tenant, for the slices; only of tenants that ask and have a quota."""
         asked = self.admission.asks(clock.monotonic())
-        tenants = self.table.tenants.items() if self.table else ()
-        return {name: round(asked.get(name, 0.0), 3) for name, tenant in tenants if tenant.rate > 0.0}
+        tenants = self.table.tenants if self.table else {}
+        return {name: round(rate, 3) for name, rate in asked.items()
+                if name in tenants and tenants[name].rate > 0.0}
 
     # What the server of clients calls
 
--- a/folio/lending/slices.py
+++ b/folio/lending/slices.py
@@ -17,7 +17,7 @@
 All times are seconds of a steady clock.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -57,6 +57,7 @@
     reserve: float = 0.0  # the fraction of a quota that is not lent but drawn from, a request at a time
     reserve_most: float = 0.9  # the same where an even slice is thin
     thin: float = 1.0  # requests a second of an even slice below which less is lent
+    least: float = 0.0  # requests a second below which nothing is lent to a desk that is not asked
     even: float = 0.2  # the fraction of a quota that is dealt out evenly, whatever is asked
     keep: float = 1.5  # seconds after a take-over in which no share is lowered, as not all asks are known yet
 
@@ -94,11 +95,12 @@
 
     def __init__(
         self, fence: int, known: set[str] | None, expect: int, now: float, terms: LendingTerms | None = None,
-        rates: Callable[[str], float] = lambda tenant: 0.0,
+        rates: Callable[[str], float] = lambda tenant: 0.0, tenants: Callable[[], Iterable[str]] = tuple,
     ) -> None:
         self.fence = fence
         self.terms = terms or LendingTerms()
         self.expect = expect
+        self.tenants = tenants  # those with a quota, whether asked for or not
         self.rates = rates  # requests a second of each tenant's quota; 0: not known
         self._awaited = None if known is None else set(known)
         self._sealed = known is None or bool(known)
@@ -116,7 +118,7 @@
         """Takes a desk's report (`asks`: requests a second by tenant, refused ones included, 0 for the
         silent).
 
-        Only tenants that some desk lists are lent, so a desk lists all tenants its configuration limits.
+        Tenants that no desk lists are lent as `tenants` names them.
         Returns the lease to answer with, or None if the report is late, of an ended process, or if the desk
         has obeyed a higher fence: this giver's time is over then.
         """
@@ -259,7 +261,8 @@
         keep = now < self._keep_until
         current = known.lent[-1].shares if known.lent else {}
         shares: dict[str, int] = {}
-        for tenant in asked.keys() | current.keys() if keep else asked:
+        for tenant in asked.keys() | current.keys() | set(self.tenants()) if keep else (
+                asked.keys() | set(self.tenants())):
             total = asked.get(tenant, 0.0)
             want = 1.0 / desks
             if total > 1e-6:
@@ -267,6 +270,8 @@
             lent = 1.0 - (terms.reserve if self._sealed else self._kept(tenant, desks))
             whole = int(PARTS * lent)
             share = int(want * lent * PARTS)
+            if not known.asks.get(tenant) and 0.0 < want * lent * self.rates(tenant) < terms.least:
+                share = 0   # no request would pass by it in seconds; it does more in the reserve
             if keep:
                 share = max(share, current.get(tenant, 0))
             bound = known.bound.get(tenant, 0)
--- a/folio/reference/dispatch.py
+++ b/folio/reference/dispatch.py
@@ -22,6 +22,11 @@
     return emulation
 
 
+def _scale(args):
+    from folio.reference.scale import scale
+    return scale(args)
+
+
 COMMANDS = {
     "check": commands.check,
     "servers": commands.servers,
@@ -36,6 +41,7 @@
     "snapshot": lambda args: _custody().snapshot(args),
     "restore": lambda args: _custody().restore(args),
     "model-check": lambda args: _custody().model_check(args),
+    "scale": _scale,
     "emulate": lambda args: _emulation().emulate(args),
     "experiment": lambda args: _emulation().experiment(args),
     "plan": lambda args: _emulation().plan(args),
--- a/folio/reference/usage.py
+++ b/folio/reference/usage.py
@@ -23,6 +23,7 @@
   folio model-check [--seeds=N] [--steps=N]
   folio demo [DIR] [--seconds=S] [--json]
   folio demo DIR --files
+  folio scale [--desks=N] [--servers=N] [--tenants=N] [--registries=N] [--beat=S] [--json]
   folio emulate DAY [--seed=N] [--set=LIST] [--log=FILE] [--json]
   folio experiment FILE [--jobs=N] [--report=OUT] [--no-plots] [--keep=STORE] [--json]
   folio plan DAY [--lose-zone=LIST] [--retire=LIST] [--double=LIST] [--load=LIST]
@@ -55,6 +56,11 @@
   --files         Only write the files of the demonstration, and print the commands that start it.
   --seed=N        What the run's chances are drawn from [default: 1].
   --set=LIST      Constants of the code in this run, as folio.circulation.clerk:HEDGE=5,...
+  --desks=N       Ingresses that carry traffic [default: 96].
+  --servers=N     Servers of all services [default: 264].
+  --tenants=N     Tenants with a quota [default: 88].
+  --registries=N  Registries [default: 6].
+  --beat=S        Seconds between two reports of a server [default: 1.3].
   --log=FILE      Write what the emulated processes log to this file.
   --runs=N        Runs of each case [default: 3].
   --jobs=N        Runs at once; left out, one a core.
--- a/folio/registry/daemon.py
+++ b/folio/registry/daemon.py
@@ -86,6 +86,8 @@
         self.duties = duties.Duties(self.me, self.rng, now, KEYS, remembered=self._granted())
         self.lenders: dict[str, Lender] = {}
         self.reserves: dict[str, Reserve] = {}
+        self.limited: dict[str, list[str]] = {}     # tenants with a quota, by duty
+        self._sort_tenants()
         self.known_desks: set[str] = set()      # those that may hold a lease
         self.desk_seen: dict[str, float] = {}
         self.dialers: dict[str, Dialer] = {}
@@ -506,7 +508,14 @@
 
         self.disk.write(persist.records, done)
 
+    def _sort_tenants(self) -> None:
+        self.limited = {key: [] for key in KEYS}
+        for (kind, name), item in self.machine.config.items.items():
+            if kind == "tenants" and item.spec.rate_per_s:
+                self.limited[duty_of(name)].append(name)
+
     def _applied(self, applied: Apply) -> None:
+        self._sort_tenants()
         entry = applied.entry
         if isinstance(entry, charter.Change):
             logs.say("applied", slot=applied.slot, ver=version_text(entry.ver))
@@ -646,7 +655,8 @@
         lender = self.lenders.get(key)
         if lender is None or lender.fence != fence:
             known = self.known_desks | set(self.roll.members(now))
-            lender = self.lenders[key] = Lender(fence, known, self.roll.count(now), now, _TERMS, self._rate)
+            lender = self.lenders[key] = Lender(fence, known, self.roll.count(now), now, _TERMS, self._rate,
+                                               lambda: self.limited.get(key, ()))
             self.reserves[key] = Reserve(now)
             logs.say("duty_taken", key=key, fence=fence, known=len(known))
         return lender.report(desk, asks, held, now)
@@ -799,7 +809,7 @@
 
 _CHARTER = tuple(charter.Message.__args__)
 _DUTIES = tuple(duties.Message.__args__)
-_TERMS = LendingTerms(reserve=0.35)
+_TERMS = LendingTerms(reserve=0.35, least=0.05)
 _NO_HELD = m.Held(0, 0.0, 0, 0, 0.0, {})
 
 
--- a/tests/folio/test_slices.py
+++ b/tests/folio/test_slices.py
@@ -257,6 +257,15 @@
 
 
 class LenderTest(unittest.TestCase):
+    def test_an_even_slice_too_thin_to_let_a_request_pass_stays_in_the_reserve(self):
+        terms = LendingTerms(reserve=0.35, least=0.05)
+        lender = Lender(1, set(), 96, 0.0, terms, lambda tenant: 2.0, lambda: ["quiet", "asked"])
+        lease = lender.report("d1", {"asked": 1.0}, Held(1, 0.0, 0, 0, 0.0, {}), 0.1)
+        self.assertNotIn("quiet", lease.shares)
+        self.assertGreater(lease.shares["asked"], 0)
+        self.assertEqual(lender.reserve("quiet"), 1.0)
+        self.assertLess(lender.reserve("asked"), 1.0)
+
     def test_a_raise_waits_until_the_lowering_is_confirmed(self):
         lender, one, two = Lender(1, set(), 2, 0.0), Holdings(1), Holdings(1)
         for holdings, desk in ((one, "one"), (two, "two")):
