--- a/folio/reference/scale.py
+++ b/folio/reference/scale.py
@@ -1,6 +1,6 @@
 """What control costs in bytes as a deployment grows: the real messages, filled for its size, by the second.
 
-Nothing is sent.  The figures hold for calm times: changes of the configuration, of servers and of sessions come
+Nothing is sent.  The figures hold for calm times: changes of configuration, servers and sessions come
 on top, and beats and pulses come as often as the daemons send them.
 """
 
