Consensus, membership, quorum read, learner, request to join and to leave: the field's names

Cause: the packages `charter` and `rolls` and the messages Peek, Peeked, Knock, Resign and Behind hid what they are: consensus, membership, a quorum read and its reply, requests to join and to leave, catching up. Change: renamed in code, tests and pages; the tags on the wire stay, so that processes of both versions still understand each other.

--- a/folio/charter/check.py
+++ b/folio/consensus/check.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from folio.charter.messages import (
+from folio.consensus.messages import (
     Accept,
     Accepted,
     Change,
@@ -22,17 +22,17 @@
     Decided,
     Entry,
     Message,
-    Peek,
     Prepare,
     Promise,
+    QuorumRead,
     Refuse,
     Voter,
     Voters,
     decode,
     encode,
 )
-from folio.charter.node import Node, Timing, _Pending, _Round
-from folio.charter.records import (
+from folio.consensus.node import Node, Timing, _Pending, _Round
+from folio.consensus.records import (
     Answer,
     Apply,
     Durable,
@@ -49,7 +49,7 @@
     Vote,
     Voted,
 )
-from folio.charter.voters import settle
+from folio.consensus.voters import settle
 from folio.schedules import Course, Report, Violation, play
 
 # Seconds for which a machine counts as lost after it is back.
@@ -523,7 +523,7 @@
 
 class _Walker:
     _ADDRS = ("a", "b", "c")
-    _TIMING = Timing(poll=1e9, knock=1e9, patience=1e9, evict_after=1e9, replace_after=1e9)
+    _TIMING = Timing(poll=1e9, join=1e9, patience=1e9, evict_after=1e9, replace_after=1e9)
 
     def __init__(self, node_class: type[Node], limit: int) -> None:
         self.node_class = node_class
@@ -559,7 +559,7 @@
                 case Send(addr=addr, message=message) if addr == self._ADDRS[at]:
                     effects += node.handle(addr, message, node._clock)
                 case Send(addr=addr, message=message):
-                    if not isinstance(message, Peek):
+                    if not isinstance(message, QuorumRead):
                         flying.append((at, self._ADDRS.index(addr), encode(message)))
                 case Persist():
                     disk.write(effect.records)
--- a/folio/charter/errors.py
+++ b/folio/consensus/errors.py
@@ -1,5 +1,5 @@
 """The errors of this layer."""
 
 
-class CharterError(Exception):
+class ConsensusError(Exception):
     """Bytes that are no message of this layer, or a contradiction between two chosen entries."""
--- a/folio/charter/messages.py
+++ b/folio/consensus/messages.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from folio.charter.errors import CharterError
+from folio.consensus.errors import ConsensusError
 
 Slot = Annotated[int, msgspec.Meta(ge=0, lt=1 << 62)]
 
@@ -101,7 +101,7 @@
     last: Slot
 
 
-class Behind(msgspec.Struct, tag="c.behind", array_like=True, frozen=True):
+class CatchUp(msgspec.Struct, tag="c.behind", array_like=True, frozen=True):
     """Asks for what is chosen from `slot` on; 0 asks for a snapshot, as one who knows no voters."""
 
     slot: Slot
@@ -115,36 +115,36 @@
     voters: Annotated[list[Voter], msgspec.Meta(min_length=1)]
 
 
-class Peek(msgspec.Struct, tag="c.peek", array_like=True, frozen=True):
+class QuorumRead(msgspec.Struct, tag="c.peek", array_like=True, frozen=True):
     """Asks whether anything was accepted at `slot`; nothing is promised or written."""
 
     slot: Slot
     nonce: Slot
 
 
-class Peeked(msgspec.Struct, tag="c.peeked", array_like=True, frozen=True):
+class QuorumReadReply(msgspec.Struct, tag="c.peeked", array_like=True, frozen=True):
     slot: Slot
     nonce: Slot
     voter: str
     busy: bool
 
 
-class Knock(msgspec.Struct, tag="c.knock", array_like=True, frozen=True):
+class JoinRequest(msgspec.Struct, tag="c.knock", array_like=True, frozen=True):
     """`voter` would like to vote, and knows what was chosen up to `slot`."""
 
     voter: Voter
     slot: Slot
 
 
-class Resign(msgspec.Struct, tag="c.resign", array_like=True, frozen=True):
+class LeaveRequest(msgspec.Struct, tag="c.resign", array_like=True, frozen=True):
     """A voter without a disk of its own would rather not vote."""
 
     voter: Voter
 
 
 Message = (
-    Prepare | Promise | Refuse | Accept | Accepted | Decided | Chosen | Behind | Snapshot
-    | Peek | Peeked | Knock | Resign
+    Prepare | Promise | Refuse | Accept | Accepted | Decided | Chosen | CatchUp | Snapshot
+    | QuorumRead | QuorumReadReply | JoinRequest | LeaveRequest
 )
 
 _encoder = msgspec.msgpack.Encoder()
@@ -157,8 +157,8 @@
 
 
 def decode(data: bytes) -> Message:
-    """The message in `data`; CharterError when there is none."""
+    """The message in `data`; ConsensusError when there is none."""
     try:
         return _decoder.decode(data)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-        raise CharterError(f"no message: {error}") from None
+        raise ConsensusError(f"no message: {error}") from None
--- a/folio/charter/node.py
+++ b/folio/consensus/node.py
@@ -13,31 +13,31 @@
 
 import msgspec
 
-from folio.charter import voters as policy
-from folio.charter.errors import CharterError
-from folio.charter.messages import (
+from folio.consensus import voters as policy
+from folio.consensus.errors import ConsensusError
+from folio.consensus.messages import (
     Accept,
     Accepted,
     Ballot,
-    Behind,
+    CatchUp,
     Change,
     Chosen,
     Decided,
     Entry,
-    Knock,
+    JoinRequest,
+    LeaveRequest,
     Message,
     Nothing,
-    Peek,
-    Peeked,
     Prepare,
     Promise,
+    QuorumRead,
+    QuorumReadReply,
     Refuse,
-    Resign,
     Snapshot,
     Voter,
     Voters,
 )
-from folio.charter.records import (
+from folio.consensus.records import (
     Answer,
     Apply,
     Durable,
@@ -63,12 +63,12 @@
     Accepted: "_on_accepted",
     Decided: "_on_decided",
     Chosen: "_on_chosen",
-    Behind: "_on_behind",
+    CatchUp: "_on_catch_up",
     Snapshot: "_on_snapshot",
-    Peek: "_on_peek",
-    Peeked: "_on_peeked",
-    Knock: "_on_knock",
-    Resign: "_on_resign",
+    QuorumRead: "_on_quorum_read",
+    QuorumReadReply: "_on_quorum_read_reply",
+    JoinRequest: "_on_join_request",
+    LeaveRequest: "_on_leave_request",
 }
 _UNJUDGED = object()
 _NEVER = float("inf")
@@ -105,7 +105,7 @@
     poll: float = 0.5
     poll_all: bool = True
     orphan: float = 0.25
-    knock: float = 0.3
+    join: float = 0.3
     sure: float = 0.75
     replace_after: float = 1.2
     evict_after: float = 2.0
@@ -130,12 +130,12 @@
 
 
 class _Round:
-    """A question put to all voters of a slot: a peek, a prepare or an accept."""
+    """A question put to all voters of a slot: a quorum read, a prepare or an accept."""
 
     __slots__ = ("slot", "message", "ballot", "seq", "voters", "need", "got", "refused", "busy", "entry",
                  "due", "gap")
 
-    def __init__(self, slot: int, message: Peek | Prepare, seq: int, voters: list[Voter]) -> None:
+    def __init__(self, slot: int, message: QuorumRead | Prepare, seq: int, voters: list[Voter]) -> None:
         self.slot, self.message, self.seq = slot, message, seq
         self.ballot = message.ballot if isinstance(message, Prepare) else None
         self.voters = {voter.id: voter.addr for voter in voters}
@@ -173,7 +173,7 @@
         self.voting = voting
         self.survive = survive
         self.contacts = list(contacts)
-        self.listeners: list[str] = []
+        self.learners: list[str] = []
         self.last = 0
         self.voters: list[Voter] = []
         self.next_tick = 0.0
@@ -195,15 +195,15 @@
         self._round: _Round | None = None
         self._high = 0
         self._tries = 0
-        self._busy_peeks = 0
+        self._busy_reads = 0
         self._hold = 0.0
         self._clock: float | None = None
         self._since = 0.0
         self._heard: dict[str, float] = {}
-        self._knockers: dict[str, tuple[Voter, float]] = {}
-        self._resigning: dict[str, float] = {}
+        self._joining: dict[str, tuple[Voter, float]] = {}
+        self._leaving: dict[str, float] = {}
         self._asked = -1.0
-        self._poll_due = self._knock_due = self._contact_due = 0.0
+        self._poll_due = self._join_due = self._contact_due = 0.0
         self._turn: tuple[list[Voter], float] | None = None
         self._recover(durable)
 
@@ -289,8 +289,8 @@
             self._ask_for_seat(out)
             self._mind_voters(out)
         elif now >= self._contact_due:
-            self._contact_due = now + self.timing.knock * self._jitter()
-            out += [Send(addr, Behind(0)) for addr in self.contacts if addr != self.me.addr]
+            self._contact_due = now + self.timing.join * self._jitter()
+            out += [Send(addr, CatchUp(0)) for addr in self.contacts if addr != self.me.addr]
         self._advance(out)
         return self._done(out)
 
@@ -330,7 +330,7 @@
         if self._turn is not None:
             due.append(self._turn[1])
         if self.voters and self._seat_message() is not None:
-            due.append(self._knock_due)
+            due.append(self._join_due)
         self.next_tick = min(due)
         return out
 
@@ -384,13 +384,13 @@
                 else:
                     unconfirmed = True
         candidate = self._candidate()
-        peeking = self._round is not None and self._round.ballot is None
-        if self._clock < self._hold or (self._round is not None and not (peeking and candidate)):
+        reading = self._round is not None and self._round.ballot is None
+        if self._clock < self._hold or (self._round is not None and not (reading and candidate)):
             return
-        if candidate is not None or (unconfirmed and self._busy_peeks >= 2):
+        if candidate is not None or (unconfirmed and self._busy_reads >= 2):
             self._start_ballot(out)
         elif unconfirmed:
-            self._start(Peek(self.last + 1, self._rng.getrandbits(60)), out)
+            self._start(QuorumRead(self.last + 1, self._rng.getrandbits(60)), out)
 
     def _confirm(self, seq: int) -> None:
         for pending in self._pending:
@@ -403,7 +403,7 @@
         self._high += 1
         self._start(Prepare(self.last + 1, Ballot(self._high, self._name)), out)
 
-    def _start(self, message: Peek | Prepare, out: list[Effect]) -> None:
+    def _start(self, message: QuorumRead | Prepare, out: list[Effect]) -> None:
         self._round = _Round(self.last + 1, message, self._seq, self.voters)
         self._ask_all(out)
 
@@ -461,7 +461,7 @@
             current.entry = orphan.entry
         else:
             self._round = None
-            self._busy_peeks = 0
+            self._busy_reads = 0
             return
         for pending in self._pending:
             if current.entry.tag in pending.tags:
@@ -492,12 +492,12 @@
         have = set(current.voters.values())
         short = Decided(current.slot, current.ballot)
         full = Chosen(current.slot, [current.entry], current.slot)
-        others = have | {voter.addr for voter in self.voters} | set(self.listeners)
+        others = have | {voter.addr for voter in self.voters} | set(self.learners)
         for addr in sorted(others - {self.me.addr}):
             out.append(Send(addr, short if addr in have else full))
 
-    def _on_peeked(self, sender: str, message: Peeked, out: list[Effect]) -> None:
-        current = self._answers(message, Peek)
+    def _on_quorum_read_reply(self, sender: str, message: QuorumReadReply, out: list[Effect]) -> None:
+        current = self._answers(message, QuorumRead)
         if current is None or message.nonce != current.message.nonce:
             return
         current.got[message.voter] = message
@@ -507,10 +507,10 @@
         self._round = None
         if current.busy:
             # Someone is about to finish this slot; only if it stays so is it for us to do.
-            self._busy_peeks += 1
+            self._busy_reads += 1
             self._hold = self._clock + self.timing.backoff * self._jitter()
         else:
-            self._busy_peeks = 0
+            self._busy_reads = 0
             self._confirm(current.seq)
 
     # Accepting
@@ -555,11 +555,11 @@
             [Voted(message.slot, message.ballot, message.entry)], [Send(sender, accepted)], out
         )
 
-    def _on_peek(self, sender: str, message: Peek, out: list[Effect]) -> None:
+    def _on_quorum_read(self, sender: str, message: QuorumRead, out: list[Effect]) -> None:
         if self._may_vote(sender, message.slot, out):
             vote = self._votes.get(message.slot)
             busy = vote is not None and vote.accepted is not None
-            out.append(Send(sender, Peeked(message.slot, message.nonce, self.me.id, busy)))
+            out.append(Send(sender, QuorumReadReply(message.slot, message.nonce, self.me.id, busy)))
 
     def _persist(self, records: list[Record], then: list[Send], out: list[Effect]) -> None:
         out.append(Persist(self._unsaved + records, then))
@@ -596,7 +596,7 @@
 
     def _moved(self) -> None:
         self._round = None
-        self._high = self._tries = self._busy_peeks = 0
+        self._high = self._tries = self._busy_reads = 0
         self._hold = 0.0
         self._turn = None
 
@@ -622,7 +622,7 @@
         if addr == self.me.addr or self._clock - self._asked < 0.03:
             return
         self._asked = self._clock
-        out.append(Send(addr, Behind(self.last + 1 if self.voters else 0)))
+        out.append(Send(addr, CatchUp(self.last + 1 if self.voters else 0)))
 
     def _tell(self, addr: str, slot: int, out: list[Effect]) -> None:
         if slot < self._first:
@@ -652,7 +652,7 @@
             return
         for slot, entry in enumerate(message.entries[: self.last + 1 - message.slot], message.slot):
             if slot in self._log and self._log[slot].tag != entry.tag:
-                raise CharterError(f"two entries chosen at slot {slot}")
+                raise ConsensusError(f"two entries chosen at slot {slot}")
         fresh = message.entries[self.last + 1 - message.slot :]
         if fresh:
             self._asked = -1.0
@@ -660,7 +660,7 @@
         if message.last > self.last:
             self._ask(sender, out)
 
-    def _on_behind(self, sender: str, message: Behind, out: list[Effect]) -> None:
+    def _on_catch_up(self, sender: str, message: CatchUp, out: list[Effect]) -> None:
         if not self.voters:
             return
         if message.slot == 0:
@@ -721,46 +721,46 @@
         if others:
             everyone = at_start or (self.timing.poll_all and self.me in self.voters)
             asked = others if everyone else [self._rng.choice(others)]
-            out += [Send(addr, Behind(self.last + 1)) for addr in asked]
+            out += [Send(addr, CatchUp(self.last + 1)) for addr in asked]
 
-    def _seat_message(self) -> Knock | Resign | None:
+    def _seat_message(self) -> JoinRequest | LeaveRequest | None:
         """What to say to the voters while we vote though we should not, or the other way round.
 
-        One that shall not vote also resigns for a former self at its address, which others may still hear
-        in its place.
+        One that shall not vote also asks to leave for a former self at its address, which others may
+        still hear in its place.
         """
         if self.voting:
-            return None if self.me in self.voters else Knock(self.me, self.last)
-        return next((Resign(voter) for voter in self.voters if voter.addr == self.me.addr), None)
+            return None if self.me in self.voters else JoinRequest(self.me, self.last)
+        return next((LeaveRequest(voter) for voter in self.voters if voter.addr == self.me.addr), None)
 
     def _ask_for_seat(self, out: list[Effect]) -> None:
         message = self._seat_message()
-        if message is None or self._clock < self._knock_due:
+        if message is None or self._clock < self._join_due:
             return
-        self._knock_due = self._clock + self.timing.knock * self._jitter()
-        if isinstance(message, Resign):
-            self._resigning[message.voter.id] = self._clock
+        self._join_due = self._clock + self.timing.join * self._jitter()
+        if isinstance(message, LeaveRequest):
+            self._leaving[message.voter.id] = self._clock
         out += [Send(voter.addr, message) for voter in self.voters if voter.addr != self.me.addr]
 
-    def _on_knock(self, sender: str, message: Knock, out: list[Effect]) -> None:
+    def _on_join_request(self, sender: str, message: JoinRequest, out: list[Effect]) -> None:
         if self.voters and message.slot < self.last:
             self._tell(sender, max(message.slot, 0) + 1, out)
         if self.voters and message.slot >= self.last - 4:
-            self._knockers[message.voter.addr] = (message.voter, self._clock)
+            self._joining[message.voter.addr] = (message.voter, self._clock)
             self._mind_voters(out)
 
-    def _on_resign(self, sender: str, message: Resign, out: list[Effect]) -> None:
-        self._resigning[message.voter.id] = self._clock
+    def _on_leave_request(self, sender: str, message: LeaveRequest, out: list[Effect]) -> None:
+        self._leaving[message.voter.id] = self._clock
 
     def _wanted(self) -> list[Voter] | None:
-        # One that knocked and fell silent would be a voter who does not vote.
-        recent = self._clock - 2.5 * self.timing.knock
-        self._knockers = {a: pair for a, pair in self._knockers.items() if pair[1] >= recent}
-        self._resigning = {i: when for i, when in self._resigning.items() if when >= recent}
+        # One that asked to join and fell silent would be a voter who does not vote.
+        recent = self._clock - 2.5 * self.timing.join
+        self._joining = {a: pair for a, pair in self._joining.items() if pair[1] >= recent}
+        self._leaving = {i: when for i, when in self._leaving.items() if when >= recent}
         return policy.propose(
             self.voters,
-            [voter for voter, _ in self._knockers.values() if voter not in self.voters],
-            self._resigning,
+            [voter for voter, _ in self._joining.values() if voter not in self.voters],
+            self._leaving,
             self._silence,
             self.survive,
             self.timing.sure,
--- a/folio/charter/voters.py
+++ b/folio/consensus/voters.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable, Collection, Sequence
 from random import Random
 
-from folio.charter.messages import Voter
-from folio.charter.records import Durable, Identity, Record, Saved
+from folio.consensus.messages import Voter
+from folio.consensus.records import Durable, Identity, Record, Saved
 
 
 def settle(
@@ -35,8 +35,8 @@
 
 def propose(
     voters: Sequence[Voter],
-    knockers: Collection[Voter],
-    resigning: Collection[str],
+    joining: Collection[Voter],
+    leaving: Collection[str],
     silence: Callable[[str], float],
     survive: int,
     sure: float,
@@ -45,12 +45,12 @@
 ) -> list[Voter] | None:
     """The next set of voters, one change away from `voters`, or None if it is right as it is.
 
-    `resigning` holds ids; `silence` gives the seconds since an address was last heard. Nothing is
+    `leaving` holds ids; `silence` gives the seconds since an address was last heard. Nothing is
     proposed unless majorities of the old and of the new voters are within earshot. A voter that is silent
     for longer than `sure` may be gone: nobody is added meanwhile, for a fourth voter beside a dead one
     would leave no loss to be borne.
     """
-    knocking = {knocker.addr: 0.0 for knocker in knockers}
+    just_heard = {newcomer.addr: 0.0 for newcomer in joining}
 
     def quiet(voter: Voter) -> float:
         return silence(voter.addr)
@@ -58,17 +58,17 @@
     if not _alive(voters, quiet, replace_after):
         return None
     ids = {voter.id for voter in voters}
-    for knocker in sorted(knockers, key=lambda voter: (voter.addr, voter.id)):
-        if knocker.id in ids and knocker in voters:
+    for newcomer in sorted(joining, key=lambda voter: (voter.addr, voter.id)):
+        if newcomer.id in ids and newcomer in voters:
             continue
-        going = _place_of(voters, knocker, resigning, quiet, replace_after)
+        going = _place_of(voters, newcomer, leaving, quiet, replace_after)
         if not going and any(quiet(voter) > sure for voter in voters):
             continue
-        new = sorted([voter for voter in voters if voter not in going] + [knocker])
-        if _alive(new, lambda voter: knocking.get(voter.addr, quiet(voter)), replace_after):
+        new = sorted([voter for voter in voters if voter not in going] + [newcomer])
+        if _alive(new, lambda voter: just_heard.get(voter.addr, quiet(voter)), replace_after):
             return new
     least = max(3, 2 * survive + 1)
-    gone = [v for v in voters if v.id in resigning or quiet(v) > evict_after]
+    gone = [v for v in voters if v.id in leaving or quiet(v) > evict_after]
     if gone and len(voters) - 1 >= least:
         worst = max(gone, key=lambda voter: (quiet(voter), voter))
         new = sorted(voter for voter in voters if voter != worst)
@@ -79,16 +79,16 @@
 
 def _place_of(
     voters: Sequence[Voter],
-    knocker: Voter,
-    resigning: Collection[str],
+    newcomer: Voter,
+    leaving: Collection[str],
     quiet: Callable[[Voter], float],
     replace_after: float,
 ) -> list[Voter]:
-    """The voters whose place the knocker takes: its own former self, or one that is of no use."""
-    same = [voter for voter in voters if voter.id == knocker.id or voter.addr == knocker.addr]
+    """The voters whose place the newcomer takes: its own former self, or one that is of no use."""
+    same = [voter for voter in voters if voter.id == newcomer.id or voter.addr == newcomer.addr]
     if same:
         return same
-    leaving = [voter for voter in voters if voter.id in resigning]
+    leaving = [voter for voter in voters if voter.id in leaving]
     silent = [voter for voter in voters if quiet(voter) > replace_after]
     useless = silent or leaving
     return [max(useless, key=lambda voter: (quiet(voter), voter))] if useless else []
--- a/folio/lending/check.py
+++ b/folio/lending/check.py
@@ -1,4 +1,4 @@
-"""Model check of lending: the real duties, rolls, givers, holdings and buckets on a virtual time.
+"""Model check of lending: the real duties, sessions, givers, holdings and buckets on a virtual time.
 
 `run` plays seeded random schedules: messages late, lost and doubled; desks that start, end, stand still and
 are cut off; registries that end, lose their disks, stand still and are parted; clocks that run unevenly;
@@ -28,8 +28,8 @@
 from folio.lending.admission import Admission, TenantTerms
 from folio.lending.budget import Most
 from folio.lending.slices import PARTS, Holdings, Known, Lease, Lender, LendingTerms, Reserve, beside_slices
-from folio.rolls.duties import Duties, DutyTerms, Granted
-from folio.rolls.sessions import Roll
+from folio.membership.duties import Duties, DutyTerms, Granted
+from folio.membership.sessions import Roll
 from folio.schedules import Course, Report, Violation, play
 
 KEY = "quota/0"
--- a/folio/reference/curves.py
+++ b/folio/reference/curves.py
@@ -26,13 +26,13 @@
 from folio.lending.admission import Admission
 from folio.lending.budget import RetryBudget
 from folio.lending.slices import PARTS, Held, Lender
+from folio.membership.sessions import Roll, Session, SessionsTold
 from folio.reference import report
 from folio.reference.commands import Args, _json, _out, _write, number
 from folio.reference.errors import DONE, BadInputError
 from folio.reference.scale import FEW, configuration, costs
 from folio.reference.tables import table
 from folio.registry.loans import TERMS
-from folio.rolls.sessions import Roll, Session, SessionsTold
 from folio.transport import messages as m
 from folio.transport.links import frame
 
--- a/folio/reference/custody.py
+++ b/folio/reference/custody.py
@@ -8,8 +8,8 @@
 from typing import Any
 
 from folio.catalogue.structs import version_text
-from folio.charter.messages import Change, Voter, Voters
-from folio.charter.records import Durable, Identity, Learned
+from folio.consensus.messages import Change, Voter, Voters
+from folio.consensus.records import Durable, Identity, Learned
 from folio.reference.checks import address_fault
 from folio.reference.commands import number
 from folio.reference.errors import DONE, FAILED, BadInputError, ToolboxError
@@ -138,7 +138,7 @@
     seeds, steps = range(number(args, "--seeds", int)), number(args, "--steps", int)
     broken = False
     if part != "lending":
-        from folio.charter import check as agreement
+        from folio.consensus import check as agreement
         broken |= _tell(agreement.run(seeds, steps), [])
     if part != "agreement":
         from folio.lending import check as lending
--- a/folio/reference/scale.py
+++ b/folio/reference/scale.py
@@ -15,11 +15,11 @@
 from folio.accession.register import Record
 from folio.lending.shards import KEYS, duty_of
 from folio.lending.slices import Held, Lease
+from folio.membership.duties import DutyTerms, Granted, Seek
+from folio.membership.sessions import SessionsTold
 from folio.registry.daemon import REPAIR, TELL
 from folio.registry.desks import LEASED
 from folio.registry.peers import PING
-from folio.rolls.duties import DutyTerms, Granted, Seek
-from folio.rolls.sessions import SessionsTold
 from folio.transport import messages as m
 from folio.transport.links import frame
 
--- a/folio/registry/agreement.py
+++ b/folio/registry/agreement.py
@@ -7,9 +7,9 @@
 
 from folio import clock, logs
 from folio.catalogue.structs import CatalogueError, Change, version_text
-from folio.charter import messages as charter
-from folio.charter.node import Node
-from folio.charter.records import Answer, Apply, Fresh, Persist, Send, Taken
+from folio.consensus import messages as consensus
+from folio.consensus.node import Node
+from folio.consensus.records import Answer, Apply, Fresh, Persist, Send, Taken
 from folio.registry.disk import Archive
 from folio.registry.machine import Again, Machine
 from folio.registry.slips import Slips, refusal
@@ -27,12 +27,12 @@
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, node: Node, machine: Machine, archive: Archive,
-                 slips: Slips, post: Callable[[str, charter.Message], None],
+                 slips: Slips, post: Callable[[str, consensus.Message], None],
                  applied: Callable[[Apply], None]) -> None:
         self.loop, self.node, self.machine = loop, node, machine
         self.archive, self.slips, self.post, self.applied = archive, slips, post, applied
 
-    def take(self, addr: str, message: charter.Message, now: float) -> None:
+    def take(self, addr: str, message: consensus.Message, now: float) -> None:
         """What another registry says of agreement, or this one to itself."""
         self._carry(self.node.handle(addr, message, now))
 
--- a/folio/registry/counter.py
+++ b/folio/registry/counter.py
@@ -11,6 +11,8 @@
 from folio.accession.register import AccessionError, Register, check_id, parse_beat
 from folio.catalogue.structs import CatalogueError, parse_change, version_text
 from folio.lending.shards import KEYS
+from folio.membership.duties import Duties
+from folio.membership.sessions import Roll
 from folio.registry.agreement import Agreement
 from folio.registry.desks import Desks
 from folio.registry.disk import Archive
@@ -18,8 +20,6 @@
 from folio.registry.reports import Reports
 from folio.registry.retirements import Retirements
 from folio.registry.slips import refusal
-from folio.rolls.duties import Duties
-from folio.rolls.sessions import Roll
 from folio.transport.http import Call
 from folio.transport.links import Link
 
--- a/folio/registry/daemon.py
+++ b/folio/registry/daemon.py
@@ -1,7 +1,8 @@
 """One registry: the process that wires the parts together, gives them the clock and hands them what comes.
 
-Nothing is decided here or in the parts beside: agreement is in `charter`, reports in `accession`, who is
-there in `rolls`, slices in `lending`.  The parts carry their messages and keep what they ask to have kept:
+Nothing is decided here or in the parts beside: agreement is in `consensus`, reports in `accession`, who is
+there in `membership`, slices in `lending`.  The parts carry their messages and keep what they ask to have
+kept:
 
 - `peers`: links to the other registries.  `desks`: sessions of desks, and what all desks are told.
 - `reports`: what servers say, and what others hear of it.  `retirements`: servers taken out by an operator.
@@ -28,10 +29,12 @@
 from folio.accession.digest import DigestOffer, RangeRecords, Repair
 from folio.accession.register import Register
 from folio.catalogue.structs import version_text
-from folio.charter import messages as charter
-from folio.charter.node import Node, Timing
-from folio.charter.records import Apply
+from folio.consensus import messages as consensus
+from folio.consensus.node import Node, Timing
+from folio.consensus.records import Apply
 from folio.lending.shards import KEYS
+from folio.membership import duties
+from folio.membership.sessions import Roll, SessionsTold
 from folio.registry.agreement import TICK, Agreement
 from folio.registry.counter import Counter
 from folio.registry.desks import Desks, Session
@@ -42,8 +45,6 @@
 from folio.registry.reports import Reports
 from folio.registry.retirements import Retirements
 from folio.registry.slips import Slips
-from folio.rolls import duties
-from folio.rolls.sessions import Roll, SessionsTold
 from folio.transport import messages as m
 from folio.transport.http import Caller
 from folio.transport.links import Link
@@ -72,8 +73,8 @@
         self.archive = Archive(loop, boot, rng, self.store_type, self.disk_type)
         self.disk = self.archive.disk
         self.machine = Machine()
-        self.node = Node(charter.Voter(self.archive.durable.id, me), self.archive.durable, self.machine, rng,
-                         Timing(poll_all=False), voting=self.disk is not None and boot.voting,
+        self.node = Node(consensus.Voter(self.archive.durable.id, me), self.archive.durable, self.machine,
+                         rng, Timing(poll_all=False), voting=self.disk is not None and boot.voting,
                          survive=boot.survive.nodes, contacts=[seed for seed in boot.seeds if seed != me])
         self.register = Register(life, now)
         self.roll = Roll(me, life)
@@ -97,7 +98,7 @@
         # Messages of registries, handled with (addr, message, now); what is not here is passed over.
         self._of_registries = {
             m.Ping: self._pinged,
-            **dict.fromkeys(charter.Message.__args__, self.agreement.take),
+            **dict.fromkeys(consensus.Message.__args__, self.agreement.take),
             **dict.fromkeys(duties.Message.__args__, self.loans.take),
             SessionsTold: self.peers.sessions_told,
             m.Rows: self.reports.rows, m.Heard: self.reports.heard,
@@ -244,7 +245,7 @@
         due = self._due_at
         self.agreement.tick(now)
         voters = set(self.peers.voters())
-        self.node.listeners = [addr for addr in self.peers.dialers if addr not in voters]
+        self.node.learners = [addr for addr in self.peers.dialers if addr not in voters]
         live = self.peers.near(now)
         self.desks.borrowers.look(now, 2 * len((live | {self.peers.me}) & voters) > len(voters))
         self.loans.tick(now, live, voters)
--- a/folio/registry/desks.py
+++ b/folio/registry/desks.py
@@ -5,14 +5,14 @@
 from folio import logs
 from folio.accession.register import Register
 from folio.catalogue.structs import version_text
-from folio.charter import messages as charter
-from folio.charter.records import Apply
+from folio.consensus import messages as consensus
+from folio.consensus.records import Apply
 from folio.lending.slices import Known
+from folio.membership.ills import Ills
+from folio.membership.sessions import Roll
 from folio.registry.disk import WHOLE
 from folio.registry.machine import Machine
 from folio.registry.peers import Peers
-from folio.rolls.ills import Ills
-from folio.rolls.sessions import Roll
 from folio.transport import messages as m
 from folio.transport.links import Link, frame
 from folio.vault.store import Member, Note
@@ -116,14 +116,14 @@
     def follow(self, applied: Apply) -> None:
         """Tell the desks what was agreed on."""
         entry = applied.entry
-        if isinstance(entry, charter.Change):
+        if isinstance(entry, consensus.Change):
             logs.say("applied", slot=applied.slot, ver=version_text(entry.ver))
             step = m.Step(applied.slot, entry.whole, m.pack(entry.body))
         elif entry is None:
             step = m.State(applied.slot, m.pack(self.machine.config.dump()))
             logs.say("state_taken", slot=applied.slot, ver=version_text(self.machine.config.ver))
         else:
-            if isinstance(entry, charter.Voters):
+            if isinstance(entry, consensus.Voters):
                 logs.say("voters", slot=applied.slot, voters=",".join(v.addr for v in entry.voters))
             step = m.Step(applied.slot)
         data = frame(step)
--- a/folio/registry/disk.py
+++ b/folio/registry/disk.py
@@ -11,8 +11,8 @@
 
 from folio import logs
 from folio.boot import Boot
-from folio.charter.records import Durable
-from folio.charter.voters import settle
+from folio.consensus.records import Durable
+from folio.consensus.voters import settle
 from folio.vault.errors import StoreError
 from folio.vault.store import Store
 
--- a/folio/registry/loans.py
+++ b/folio/registry/loans.py
@@ -5,12 +5,12 @@
 from folio import logs
 from folio.lending.shards import KEYS, duty_of
 from folio.lending.slices import Held, Lease, Lender, LendingTerms, Reserve
+from folio.membership import duties
+from folio.membership.sessions import Roll
 from folio.registry.desks import Desks, Session
 from folio.registry.disk import DUTY, Archive
 from folio.registry.machine import Machine
 from folio.registry.peers import Peers
-from folio.rolls import duties
-from folio.rolls.sessions import Roll
 from folio.transport import messages as m
 from folio.vault.store import Note
 
--- a/folio/registry/machine.py
+++ b/folio/registry/machine.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from folio.catalogue.structs import EMPTY, CatalogueError, Change, Configuration, judge, version_text
-from folio.charter.messages import Change as Entry
+from folio.consensus.messages import Change as Entry
 
 REMEMBERED = 256    # digests of taken changes; a call is sent again within seconds
 
@@ -29,7 +29,7 @@
 
 
 class Machine:
-    """The configuration in force, as `charter.node.Machine` asks for it."""
+    """The configuration in force, as `consensus.node.Machine` asks for it."""
 
     def __init__(self) -> None:
         self.config: Configuration = EMPTY
--- a/folio/registry/peers.py
+++ b/folio/registry/peers.py
@@ -7,9 +7,9 @@
 
 from folio import boot as boots
 from folio import clock, logs
-from folio.charter.node import Node
-from folio.rolls.detector import Detector
-from folio.rolls.sessions import Roll, SessionsTold
+from folio.consensus.node import Node
+from folio.membership.detector import Detector
+from folio.membership.sessions import Roll, SessionsTold
 from folio.transport import messages as m
 from folio.transport.links import Dialer, Link, frame
 
--- a/folio/registry/retirements.py
+++ b/folio/registry/retirements.py
@@ -11,11 +11,11 @@
 from folio.accession import quorum
 from folio.accession.register import Record, Register, check_id
 from folio.accession.retiring import Asked, Look, RacedError, shares, tight
+from folio.membership.sessions import Roll
 from folio.registry.desks import Desks, Session
 from folio.registry.disk import Archive
 from folio.registry.peers import Peers
 from folio.registry.slips import Slips, refusal
-from folio.rolls.sessions import Roll
 from folio.transport import messages as m
 from folio.transport.http import Call
 from folio.vault.store import Note
--- a/folio/stacks/disk.py
+++ b/folio/stacks/disk.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 from random import Random
 
-from folio.charter.records import Durable, Identity, Learned, Promised, Saved, Vote, Voted
+from folio.consensus.records import Durable, Identity, Learned, Promised, Saved, Vote, Voted
 from folio.stacks.loop import ProcessLoop
 from folio.vault.errors import StoreError
 from folio.vault.store import Member, Note
--- a/folio/transport/messages.py
+++ b/folio/transport/messages.py
@@ -10,10 +10,10 @@
 from folio.accession.quorum import Held as ReportHeld
 from folio.accession.quorum import Hold
 from folio.accession.register import Record
-from folio.charter import messages as charter
+from folio.consensus import messages as consensus
 from folio.lending.slices import Held, Lease
-from folio.rolls import duties
-from folio.rolls.sessions import SessionsTold
+from folio.membership import duties
+from folio.membership.sessions import SessionsTold
 
 PACK_FROM = 2048    # bytes of a body from which on it is packed
 
@@ -212,7 +212,7 @@
     lease: Lease
 
 
-Message = (charter.Message | duties.Message | Hold | ReportHeld | DigestOffer | RangeRecords | SessionsTold
+Message = (consensus.Message | duties.Message | Hold | ReportHeld | DigestOffer | RangeRecords | SessionsTold
            | Hello | Ping | Rows | Heard | Ask | Lent | Open | Report | Bye | Welcome | State | Step | Servers
            | Quiet | Pulse | Slice | Ill | Shun | Draw | Drawn | Watch | Watched | Count | Leaving)
 encode = msgspec.msgpack.Encoder().encode
--- a/folio/vault/store.py
+++ b/folio/vault/store.py
@@ -15,8 +15,8 @@
 
 import msgspec
 
-from folio.charter.messages import Ballot, Entry, Nothing, Voter, Voters
-from folio.charter.records import Durable, Identity, Learned, Promised, Record, Saved, Vote, Voted
+from folio.consensus.messages import Ballot, Entry, Nothing, Voter, Voters
+from folio.consensus.records import Durable, Identity, Learned, Promised, Record, Saved, Vote, Voted
 from folio.vault.errors import StoreError
 
 _TABLES = {
@@ -186,7 +186,7 @@
     # Reading and writing
 
     def load(self) -> Durable:
-        """What the disk holds. Without an id, `folio.charter.voters.settle` has to give one first."""
+        """What the disk holds. Without an id, `folio.consensus.voters.settle` has to give one first."""
         try:
             held = dict(self._rows("identity"))
             durable = Durable(
--- a/tests/folio/test_charter.py
+++ b/tests/folio/test_consensus.py
@@ -8,13 +8,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from folio.charter import messages as wire
-from folio.charter.check import Disk, Ledger, Order, World, explore, run
-from folio.charter.errors import CharterError
-from folio.charter.messages import Ballot, Change, Voter, Voters, decode, encode
-from folio.charter.node import Node, Timing
-from folio.charter.records import Fresh, Learned, Persist, Saved, Send, Taken, Unclear
-from folio.charter.voters import propose, settle
+from folio.consensus import messages as wire
+from folio.consensus.check import Disk, Ledger, Order, World, explore, run
+from folio.consensus.errors import ConsensusError
+from folio.consensus.messages import Ballot, Change, Voter, Voters, decode, encode
+from folio.consensus.node import Node, Timing
+from folio.consensus.records import Fresh, Learned, Persist, Saved, Send, Taken, Unclear
+from folio.consensus.voters import propose, settle
 
 OUTCOMES = {"taken": Taken, "fresh": Fresh, "unclear": Unclear, "stale": "stale", "same": "same"}
 
@@ -251,10 +251,10 @@
             ("in place of one that resigns", [a, b, c], [new], {}, ["b"], [a, c, new]),
             ("the last three stay", [a, b, c], [], {}, ["b"], None),
         ]
-        for name, voters, knockers, silent, resigning, wanted in cases:
+        for name, voters, joining, silent, leaving, wanted in cases:
             with self.subTest(name):
                 got = propose(
-                    voters, knockers, resigning, lambda x, s=silent: s.get(x, 0.0), 1, 0.7, 1.2, 2.0
+                    voters, joining, leaving, lambda x, s=silent: s.get(x, 0.0), 1, 0.7, 1.2, 2.0
                 )
                 self.assertEqual(got, sorted(wanted) if wanted else None)
         five = [a, b, c, d, new]
@@ -318,7 +318,7 @@
         durable.chosen.clear()
         node = Node(Voter("a", "a"), durable, Ledger(), Random(2))
         effects = node.handle("b", wire.Prepare(1, Ballot(9, "b")), 1.0)
-        self.assertEqual([e.message for e in effects if isinstance(e, Send)], [wire.Behind(1)])
+        self.assertEqual([e.message for e in effects if isinstance(e, Send)], [wire.CatchUp(1)])
 
     def test_words_of_a_machine_under_another_name_do_not_count(self):
         node = self._node()
@@ -393,12 +393,12 @@
     wire.Accepted(1, BALLOT, "genesis/b"),
     wire.Decided(1, BALLOT),
     wire.Chosen(1, [wire.Nothing("t"), Voters("v", [Voter("a", "a")])], 2),
-    wire.Behind(1),
+    wire.CatchUp(1),
     wire.Snapshot(4, b"", [Voter("a", "b")]),
-    wire.Peek(1, 7),
-    wire.Peeked(1, 7, "genesis/b", True),
-    wire.Knock(Voter("x", "y"), 0),
-    wire.Resign(Voter("x", "y")),
+    wire.QuorumRead(1, 7),
+    wire.QuorumReadReply(1, 7, "genesis/b", True),
+    wire.JoinRequest(Voter("x", "y"), 0),
+    wire.LeaveRequest(Voter("x", "y")),
 ]
 
 
@@ -425,7 +425,7 @@
     def _take(self, data: bytes) -> None:
         try:
             message = decode(data)
-        except CharterError:
+        except ConsensusError:
             return
         node = Failures()._node()
         node.machine.apply = lambda slot, entry: None
@@ -434,7 +434,7 @@
         try:
             node.handle("b", message, 1.01)
             node.tick(3.0)
-        except CharterError:
+        except ConsensusError:
             pass
 
 
--- a/tests/folio/test_ills.py
+++ b/tests/folio/test_ills.py
@@ -9,7 +9,7 @@
 from folio.circulation.clerk import Clerk, Send
 from folio.lending.admission import Admission
 from folio.lending.budget import RetryBudget
-from folio.rolls.ills import LASTS, Ills
+from folio.membership.ills import LASTS, Ills
 
 SERVERS = ("s1", "s2", "s3", "s4", "s5", "s6")
 
--- a/tests/folio/test_lending.py
+++ b/tests/folio/test_lending.py
@@ -7,8 +7,8 @@
 from folio.lending.admission import Admission, TenantTerms
 from folio.lending.check import LendingReport, Parts, Violation, World, figures, run
 from folio.lending.slices import Holdings, Lender, LendingTerms, Reserve
+from folio.membership.duties import Duties, DutyTerms
 from folio.reference import dispatch
-from folio.rolls.duties import Duties, DutyTerms
 
 
 class LenderThatForgets(Lender):
--- a/tests/folio/test_reference.py
+++ b/tests/folio/test_reference.py
@@ -13,8 +13,8 @@
 from unittest import mock
 
 from folio.catalogue.structs import Configuration
-from folio.charter.messages import Change, Voter
-from folio.charter.records import Identity, Learned, Promised, Saved
+from folio.consensus.messages import Change, Voter
+from folio.consensus.records import Identity, Learned, Promised, Saved
 from folio.reference import checks, demo, difference, exhibit, wire
 from folio.reference.dispatch import run
 from folio.reference.errors import RefusedError, UnclearError
--- a/tests/folio/test_sessions.py
+++ b/tests/folio/test_sessions.py
@@ -10,8 +10,8 @@
 
 import msgspec
 
-from folio.rolls.detector import Detector
-from folio.rolls.sessions import Roll, SessionsTold
+from folio.membership.detector import Detector
+from folio.membership.sessions import Roll, SessionsTold
 
 
 class Timeline:
--- a/tests/folio/test_stacks.py
+++ b/tests/folio/test_stacks.py
@@ -16,10 +16,10 @@
 
 import msgspec
 
-from folio.charter.messages import Ballot, Change, Voter
-from folio.charter.records import Identity, Learned, Promised, Saved, Voted
 from folio.circulation.clerk import Clerk
 from folio.circulation.desk import Desk
+from folio.consensus.messages import Ballot, Change, Voter
+from folio.consensus.records import Identity, Learned, Promised, Saved, Voted
 from folio.lending.admission import Admission, Verdict
 from folio.lending.budget import RetryBudget
 from folio.reference import dispatch, experiment, planner
--- a/tests/folio/test_vault.py
+++ b/tests/folio/test_vault.py
@@ -9,10 +9,10 @@
 from pathlib import Path
 from random import Random
 
-from folio.charter.check import Disk
-from folio.charter.messages import Ballot, Change, Nothing, Voter, Voters
-from folio.charter.records import Identity, Learned, Promised, Record, Saved, Voted
-from folio.charter.voters import settle
+from folio.consensus.check import Disk
+from folio.consensus.messages import Ballot, Change, Nothing, Voter, Voters
+from folio.consensus.records import Identity, Learned, Promised, Record, Saved, Voted
+from folio.consensus.voters import settle
 from folio.vault.errors import StoreError
 from folio.vault.store import Member, Note, Store
 
