model-check: parts by a table, schedules over all cores, mutants that have to be found

Cause: one process played some 25 schedules a second, two parts were wired by hand, and mutants lived in tests alone. Change: folio/reference/model_check.py has a table of parts, spreads seeds over processes and merges reports; `Mutant` in folio/schedules.py names a guard that is left out and a seed that finds it.

--- a/folio/consensus/check.py
+++ b/folio/consensus/check.py
@@ -52,6 +52,7 @@
 from folio.consensus.voters import settle
 from folio.schedules import Course, Report, Violation, play
 
+STEPS = 30      # acts of a schedule
 # Seconds for which a machine counts as lost after it is back.
 _BETWEEN_LOSSES = 4.0
 SAME, STALE = "same", "stale"
--- a/folio/lending/check.py
+++ b/folio/lending/check.py
@@ -32,6 +32,7 @@
 from folio.membership.sessions import Roll
 from folio.schedules import Course, Report, Violation, play
 
+STEPS = 30      # acts of a schedule
 KEY = "quota/0"
 WINDOW, EXCESS, SLACK = 5.0, 0.1, 20.0      # the rule in force: s, parts of the quota, requests
 DRIFT = 0.01            # most that a clock gains or loses, so that two differ in speed by up to 2%
@@ -93,6 +94,18 @@
     tight: dict[int, int] = msgspec.field(default_factory=dict)
     tight_served: dict[int, int] = msgspec.field(default_factory=dict)
 
+    def merge(self, other: LendingReport) -> None:
+        """Add what another process has played."""
+        super().merge(other)
+        self.shares = max(self.shares, other.shares)
+        for mine, its in ((self.most, other.most), (self.excess, other.excess)):
+            mine.update({key: max(value, mine.get(key, 0.0)) for key, value in its.items()})
+        for mine, its in ((self.asked, other.asked), (self.served, other.served), (self.tight, other.tight),
+                          (self.tight_served, other.tight_served)):
+            mine.update({key: value + mine.get(key, 0) for key, value in its.items()})
+        for desks, peak in other.peaks.items():
+            self.peaks[desks] = max(peak, self.peaks.get(desks, peak), key=lambda each: each.ratio)
+
 
 class Tape:
     """What passed of one tenant in the last window, anywhere."""
--- a/folio/reference/custody.py
+++ b/folio/reference/custody.py
@@ -1,4 +1,4 @@
-"""Commands that work on a store's file, with no process running on it, and the model check."""
+"""Commands that work on a store's file, with no process running on it."""
 
 import shutil
 import sqlite3
@@ -11,9 +11,7 @@
 from folio.consensus.messages import Change, Voter, Voters
 from folio.consensus.records import Durable, Identity, Learned
 from folio.reference.checks import address_fault
-from folio.reference.commands import number
-from folio.reference.errors import DONE, FAILED, BadInputError, ToolboxError
-from folio.schedules import Report
+from folio.reference.errors import DONE, BadInputError, ToolboxError
 from folio.vault.errors import StoreError
 from folio.vault.store import Store
 
@@ -128,29 +126,3 @@
         raise ToolboxError(f"restore: {error}") from None
     sys.stdout.write(f"slot {last}{_newest(durable)}, digest {digest}\n")
     return DONE
-
-
-def model_check(args: Args) -> int:
-    """Drive the agreement or lending through seeded random schedules; FAILED if an invariant breaks."""
-    part = args["--part"]
-    if part not in ("agreement", "lending", "both"):
-        raise BadInputError("--part", f"{part!r} is none of agreement, lending, both")
-    seeds, steps = range(number(args, "--seeds", int)), number(args, "--steps", int)
-    broken = False
-    if part != "lending":
-        from folio.consensus import check as agreement
-        broken |= _tell(agreement.run(seeds, steps), [])
-    if part != "agreement":
-        from folio.lending import check as lending
-        report = lending.run(seeds, steps)
-        broken |= _tell(report, lending.figures(report))
-    return FAILED if broken else DONE
-
-
-def _tell(report: Report, figures: list[str]) -> bool:
-    """Write a report; whether an invariant broke."""
-    outcomes = ", ".join(f"{count} {name}" for name, count in sorted(report.outcomes.items()))
-    sys.stdout.write(f"{report.schedules} schedules, {report.events} events, {outcomes or 'no outcome'}\n")
-    for line in [*figures, *(f"VIOLATION {line}" for line in report.violations)]:
-        sys.stdout.write(f"{line}\n")
-    return bool(report.violations)
--- a/folio/reference/dispatch.py
+++ b/folio/reference/dispatch.py
@@ -10,7 +10,7 @@
 
 
 def _custody():
-    # The store and the agreement are loaded only for the commands that work on them.
+    # The store and consensus are loaded only for the commands that work on them.
     from folio.reference import custody
     return custody
 
@@ -32,6 +32,11 @@
     return scale(args)
 
 
+def _model_check(args):
+    from folio.reference.model_check import model_check
+    return model_check(args)
+
+
 def _figures(args):
     from folio.reference.figures import figures
     return figures(args)
@@ -51,7 +56,7 @@
     "demo": commands.demo,
     "snapshot": lambda args: _custody().snapshot(args),
     "restore": lambda args: _custody().restore(args),
-    "model-check": lambda args: _custody().model_check(args),
+    "model-check": _model_check,
     "scale": _scale,
     "detection": _detection,
     "emulate": lambda args: _emulation().emulate(args),
--- a/folio/schedules.py
+++ b/folio/schedules.py
@@ -23,6 +23,27 @@
     outcomes: Counter = msgspec.field(default_factory=Counter)
     violations: list[str] = msgspec.field(default_factory=list)
 
+    def merge(self, other: Report) -> None:
+        """Add what another process has played."""
+        self.schedules += other.schedules
+        self.events += other.events
+        self.outcomes += other.outcomes
+        self.violations += other.violations
+
+
+class Mutant(msgspec.Struct, frozen=True):
+    """The code under check without one of its guards: a check that can't fail proves nothing.
+
+    `guard` says in a few words what is left out, `run` plays schedules with it left out, `seed` is one with
+    which the check finds it, None where none is known; `why` then says whether the guard is needless or
+    beyond what the check reaches.
+    """
+
+    guard: str
+    run: Callable[[Iterable[int]], Report]
+    seed: int | None = None
+    why: str = ""
+
 
 class Course:
     """Virtual time, in seconds, with what is due on it, and chances that all come from one seed.
