An answer that names no request is nobody's on a connection that another one has used

Cause: an answer without X-Attempt-Id was taken for the request at hand, also where it was one more answer to the request before on that connection: its client got another's failure, and an X-Not-Run that spoke of another try had an unsafe request sent to a second server while the first one ran it. Change: on a connection that has carried another request, or an answer to one, such an answer is spoilt: the request may have run. On a new connection it is ours as before, as nobody else was asked there.

--- a/fennelpoint/net/backends.py
+++ b/fennelpoint/net/backends.py
@@ -69,6 +69,10 @@
         """Whether an answer that begins so belongs to another request, which was over before."""
         return False
 
+    def nameless(self, headers: list[tuple[bytes, bytes]]) -> bool:
+        """Whether an answer that begins so doesn't say whose it is, in dialects whose answers do."""
+        return False
+
 
 class Exchange:
     """One request to one backend, from the wish to send it until its outcome."""
@@ -135,7 +139,7 @@
     __slots__ = ("pool", "upstream", "transport", "exchange", "first", "parser", "flushed", "finished",
                  "idle_since", "poll", "status", "headers", "length", "in_head", "until_close", "body",
                  "body_size", "counted", "size", "complete", "excess", "keep", "closed", "heard", "moved",
-                 "doubt", "begun", "passing", "reading", "waiting", "alien", "tainted", "lasts",
+                 "doubt", "begun", "passing", "reading", "waiting", "alien", "tainted", "used", "lasts",
                  "__weakref__")
 
     def __init__(self, pool: Backends, upstream: Upstream, first: Exchange) -> None:
@@ -146,6 +150,7 @@
         self.flushed = self.finished = self.reading = True
         self.closed, self.idle_since = False, 0.0
         self.alien = self.tainted = False   # the answer at hand is to a request that was over; one was
+        self.used = False       # another request was answered here before
         self.lasts = math.inf   # s that the backend keeps it open unused, by its word
         self.waiting: Waiting | None = None     # what an upload has waiting here
         self.counted = 0
@@ -296,6 +301,10 @@
         self.until_close = length is None and not chunked and self.status not in (204, 304)
         if self.length is not None and self.length > flow.MOST_LARGE:
             self.doubt = "is too large"
+        elif (self.used or self.tainted) and dialect.nameless(self.headers):
+            # Guards who is answered, and what may run once: it may be one more answer to the request before,
+            # so neither its bytes nor its word that nothing has run are this request's.
+            self.doubt = "does not say whose it is"
         else:
             self.doubt = dialect.doubt(self.status, self.headers, self.until_close)
 
@@ -352,6 +361,7 @@
 
     def _answered(self) -> None:
         exchange, whole, passed = self.exchange, self.written, self.passing
+        self.used = True
         self._leave_exchange()
         answer = Answer(self.status, self.headers, self._held())
         for name, value in self.headers:
--- a/folio/circulation/dialect.py
+++ b/folio/circulation/dialect.py
@@ -7,6 +7,7 @@
 
 NOT_RUN = b"x-not-run"
 SEAL = b"x-server-seal"
+ATTEMPT = b"x-attempt-id"
 
 
 def field(headers: list[tuple[bytes, bytes]], name: bytes) -> bytes | None:
@@ -28,7 +29,7 @@
         if 200 <= status < 300:
             if field(headers, SEAL) is None:
                 return "has no seal"
-            if field(headers, b"x-attempt-id") is None:
+            if field(headers, ATTEMPT) is None:
                 return "names no request"
             if field(headers, b"content-encoding") is not None:
                 return "is encoded, which nobody asked for"
@@ -39,9 +40,12 @@
         return ""
 
     def alien(self, headers: list[tuple[bytes, bytes]], echo: bytes | None) -> bool:
-        told = field(headers, b"x-attempt-id")
+        told = field(headers, ATTEMPT)
         return echo is not None and told is not None and told != echo
 
+    def nameless(self, headers: list[tuple[bytes, bytes]]) -> bool:
+        return field(headers, ATTEMPT) is None
+
 
 def load_of(answer: Answer) -> tuple[int, int, int] | None:
     """What the server tells of its load: requests running, waiting, and slots; None where it doesn't."""
--- a/tests/folio/test_dialect.py
+++ b/tests/folio/test_dialect.py
@@ -244,6 +244,21 @@
                 self.assertEqual(self.outcome(), (Status.OK, BODY), (old, at))
                 self.assertTrue(connection.transport.closed)    # out of step once, it is not trusted again
 
+    def test_one_that_names_nobody_counts_only_where_nobody_else_was_asked(self):
+        for data, status in ((answer(500), Status.ERROR), (answer(421), Status.FULL),
+                             (answer(503, fields=b"X-Not-Run: 1\r\n"), Status.FULL)):
+            data = data.replace(b"X-Attempt-Id: one\r\n", b"")
+            with self.subTest(data[:30]):
+                self.asked(data)
+                self.assertEqual(self.outcome(), (status, BODY))
+                connection = self.asked(answer())
+                self.outcome()
+                self.begin(b"two")
+                self.feed(connection, data)
+                self.assertEqual((self.outcome(), connection.transport.closed), ((Status.ERROR, None), True))
+                self.asked(answer(txn=b"old") + data)
+                self.assertEqual(self.outcome(), (Status.ERROR, None))
+
     def test_one_that_never_comes_after_it_may_have_run(self):
         self.lose(self.asked(answer(txn=b"old")))
         self.assertEqual(self.outcome(), (Status.RESET, None))
