An answer that names two requests, or bears two stamps, is spoilt

Cause: two heads that ran into one another were read as one answer; the first id counted, the body was that of either. Change: X-Attempt-Id and X-Server-Seal may be said once.

--- a/folio/circulation/dialect.py
+++ b/folio/circulation/dialect.py
@@ -26,6 +26,10 @@
         return Status.OK if 200 <= answer.status < 300 else Status.ERROR
 
     def doubt(self, status: int, headers: list[tuple[bytes, bytes]], until_close: bool) -> str:
+        names = [name for name, _ in headers]
+        if names.count(ATTEMPT) > 1 or names.count(SEAL) > 1:
+            # Heads that ran into one another; which of them the body is of would be anybody's guess.
+            return "says twice whose it is"
         if 200 <= status < 300:
             if field(headers, SEAL) is None:
                 return "has no seal"
--- a/tests/folio/test_dialect.py
+++ b/tests/folio/test_dialect.py
@@ -259,6 +259,12 @@
                 self.asked(answer(txn=b"old") + data)
                 self.assertEqual(self.outcome(), (Status.ERROR, None))
 
+    def test_one_that_names_two_counts_for_neither(self):
+        for data in (answer(fields=b"X-Attempt-Id: two\r\n"), answer(fields=b"X-Server-Seal: s.2\r\n"),
+                     answer(503, fields=b"X-Not-Run: 1\r\nX-Attempt-Id: two\r\n")):
+            self.asked(data)
+            self.assertEqual(self.outcome(), (Status.ERROR, None), data)
+
     def test_one_that_never_comes_after_it_may_have_run(self):
         self.lose(self.asked(answer(txn=b"old")))
         self.assertEqual(self.outcome(), (Status.RESET, None))
