A failure without a length is not passed on: it may have been cut off

Cause: an answer that lasts until the close was doubted for successes only. A failure cut off in order went to its client with the length of what had come, as if that were all. Change: no answer of a server counts that does not say where it ends.

--- a/folio/circulation/dialect.py
+++ b/folio/circulation/dialect.py
@@ -26,6 +26,9 @@
         return Status.OK if 200 <= answer.status < 300 else Status.ERROR
 
     def doubt(self, status: int, headers: list[tuple[bytes, bytes]], until_close: bool) -> str:
+        if until_close:
+            # Guards who is answered: one cut off in order would pass for whole, a failure as much as a success.
+            return "does not say where it ends"
         names = [name for name, _ in headers]
         if names.count(ATTEMPT) > 1 or names.count(SEAL) > 1:
             # Heads that ran into one another; which of them the body is of would be anybody's guess.
@@ -37,8 +40,6 @@
                 return "names no request"
             if field(headers, b"content-encoding") is not None:
                 return "is encoded, which nobody asked for"
-            if until_close:
-                return "does not say where it ends"
         elif status < 400:
             return f"has status {status}"
         return ""
--- a/tests/folio/test_dialect.py
+++ b/tests/folio/test_dialect.py
@@ -265,6 +265,10 @@
             self.asked(data)
             self.assertEqual(self.outcome(), (Status.ERROR, None), data)
 
+    def test_a_failure_without_a_length_may_have_been_cut_off(self):
+        self.lose(self.asked(answer(500, framing=b"")))
+        self.assertEqual(self.outcome(), (Status.ERROR, None))
+
     def test_one_that_never_comes_after_it_may_have_run(self):
         self.lose(self.asked(answer(txn=b"old")))
         self.assertEqual(self.outcome(), (Status.RESET, None))
