Numbers of draws begin with the life of the desk

Cause: they began at 1 in each life, and registries pass an answer on by the desk's name. One that came late to a desk started anew was taken for the first draws of that life, of whatever tenant. Change: they begin with the life, in microseconds, and leave 1,024 draws to each.

--- a/folio/circulation/follower.py
+++ b/folio/circulation/follower.py
@@ -23,6 +23,7 @@
 ALONE = 0.8         # s that a registry may say it has no majority before another one is tried
 ALONE_AGAIN = 4.0   # s before one that had no majority is tried again
 DRAW_TIMEOUT = 0.06     # s for an answer from the reserve: a request waits for it
+DRAW_BITS = 10      # of a draw's number below the life's microseconds: more draws than that take longer
 CONNECT = 0.5       # s for a connection to come up
 
 
@@ -49,7 +50,8 @@
         self.on_shun: Callable[[list[str]], None] = lambda ids: None
         self.leased_at = -1e9   # when a lease was last missing
         self.draws: dict[int, Callable[[int, float], None]] = {}
-        self.last_draw = 0
+        # Begun with the life: registries pass an answer on by the desk's name, also to a life that never asked.
+        self.last_draw = self.life << DRAW_BITS
         self.members = 0
         self.link: Link | None = None
         self.at = ""            # the registry that the session is with
--- a/tests/folio/test_follower.py
+++ b/tests/folio/test_follower.py
@@ -26,6 +26,23 @@
             self.assertTrue(least < loop.call_later.call_args.args[0] < most, members)
 
 
+class DrawTest(unittest.TestCase):
+    def test_no_answer_to_an_earlier_life_is_taken_for_one_of_this(self):
+        boot = Boot("edge-1", "10.1.0.1", "z", (7660, 7675), ["10.1.0.1:8407"], Bind())
+        numbers, got = [], []
+        for life in (1_700_000_000_000_000, 1_700_000_000_001_000):
+            with mock.patch.object(clock, "time_ns", lambda life=life: life * 1000):
+                follower = Follower(mock.Mock(), boot, random.Random(1), None, None, None, dict)
+            link = follower.link = mock.Mock()
+            for _ in range(3):
+                follower.draw("north", 1, lambda given, wait: got.append(given))
+            numbers.append([call.args[0].number for call in link.send.call_args_list])
+        self.assertEqual(set(numbers[0]) & set(numbers[1]), set())
+        for number in (*numbers[0], numbers[1][0], numbers[1][0]):      # late, then its own, then that again
+            follower._heard(link, m.Drawn("edge-1", number, 1, 0.0))
+        self.assertEqual(got, [1])
+
+
 class SilenceTest(unittest.TestCase):
     def play(self, timeline):
         boot = Boot("edge-1", "10.1.0.1", "z", (7660, 7675), ["10.1.0.1:8407", "10.2.0.1:8407"], Bind())
