Tickets begin with the life of the registry

Cause: they were numbers from 1 in each life, and those of a look at servers that leave travel to other registries and back. One that had stood still meanwhile could answer a life that had never asked; what it knew then would count as fresh, and its registry as heard. Change: tickets begin with the microseconds at which the process began, as numbers of draws do.

--- a/folio/registry/daemon.py
+++ b/folio/registry/daemon.py
@@ -51,6 +51,7 @@
 from folio.vault.store import Store
 
 TELL, REPAIR, SAVE = 0.5, 1.0, 1.0  # s between news to registries, comparisons of registers, writes of ours
+TICKET_BITS = 10    # of a ticket below the microseconds at which the process began: more take longer to give out
 QUIET = 2.6     # beats without a sign of life after which desks are told that a server is silent
 
 
@@ -68,7 +69,8 @@
         self.loop, self.boot, self.path = loop, boot, path
         self.rng = rng = rng or Random()
         me, now = boot.bind.ctl, self.now()
-        life = f"{clock.time_ns() // 1000:x}.{rng.getrandbits(32):08x}"
+        begun = clock.time_ns() // 1000
+        life = f"{begun:x}.{rng.getrandbits(32):08x}"
         # What decides, and the disk.
         self.archive = Archive(loop, boot, rng, self.store_type, self.disk_type)
         self.disk = self.archive.disk
@@ -81,7 +83,7 @@
         self.duties = duties.Duties(me, rng, now, KEYS, remembered=self.archive.granted())
         repair, pending = Repair(self.register), quorum.Pending(me)
         # What carries it out.
-        self.slips = Slips()
+        self.slips = Slips(begun << TICKET_BITS)
         self.peers = Peers(loop, me, life, boot.port_range[0], self.node, self.roll, repair.offer,
                            self._heard, self._take)
         self.desks = Desks(self.register, self.roll, self.machine, self.peers, self.archive.members(),
--- a/folio/registry/slips.py
+++ b/folio/registry/slips.py
@@ -8,11 +8,15 @@
 
 
 class Slips:
-    """The calls that wait, by ticket. Tickets are numbers that are given out once in a process."""
+    """The calls that wait, by ticket.
 
-    def __init__(self) -> None:
+    Tickets are numbers above `first` that are given out once.  Some travel to other registries and back, which
+    may answer another life of this one: each life has a `first` far above those given out before.
+    """
+
+    def __init__(self, first: int = 0) -> None:
         self._waiting: dict[int, Call] = {}
-        self._last = 0
+        self._last = first
 
     def __len__(self) -> int:
         return len(self._waiting)
--- a/tests/folio/test_registry.py
+++ b/tests/folio/test_registry.py
@@ -319,6 +319,19 @@
                 registry = system.registries[name]
                 self.assertEqual(list(registry.roll.members(registry.now())), ["desk"])
 
+    def test_a_ticket_of_an_earlier_life_is_none_of_a_later_one(self):
+        # Others may answer an earlier life once a later one has begun, and tickets are all they name.
+        timeline = """
+            time | events             | r1
+            2    |                    |
+            2.1  | kill r1; start r1  |
+            2.2  |                    |
+            """
+        registry = self.play("time | events\n2 |", 3).registries["r1"]
+        first = [registry.slips.number() for _ in range(1000)]
+        later = self.play(timeline, 3).registries["r1"].slips.number()
+        self.assertGreater(later, first[-1])
+
 
 if __name__ == "__main__":
     unittest.main()
