100 Continue goes out in its call's turn only

Cause: between two calls of a connection nothing is being served for a moment. A call that came just then and waits for 100 Continue was told to go on before the answers to the calls ahead of it, so it read as one of theirs. Change: it goes out only where no call is ahead. Measured: a test of its own fails without it.

--- a/folio/transport/http.py
+++ b/folio/transport/http.py
@@ -122,7 +122,8 @@
         if self.framed and self.parser.should_upgrade():
             # The parser leaves such a body unread, and it must not be taken for the next call.
             return self._fault(400, "a call with a body can't change the protocol")
-        if self.expects and not self.busy:
+        if self.expects and not (self.busy or self.waiting or self.deaf):
+            # Not before the answers to earlier calls, as it would be read as one of theirs.
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
--- a/tests/folio/test_transport.py
+++ b/tests/folio/test_transport.py
@@ -169,6 +169,19 @@
             self.assertEqual((self.seen, self.statuses(caller)), (expected, [200, 201, 202]))
             self.assertFalse(caller.transport.closed)
 
+    def test_a_caller_is_told_to_go_on_in_its_turn_only(self):
+        waits = b"PUT /3 HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n"
+        caller = self.caller(at_once=False)
+        caller.data_received(b"GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n")
+        self.held[0].reply(200)
+        caller.data_received(waits)     # the second call is about to be served
+        self.turn()
+        self.held[1].reply(200)
+        self.assertEqual(self.statuses(caller), [200, 200])
+        caller = self.caller()
+        caller.data_received(waits + b"x")
+        self.assertEqual(self.statuses(caller), [100, 200])
+
     def test_a_connection_ends_when_its_caller_says_so(self):
         for head in (b"GET / HTTP/1.1\r\nConnection: close\r\n\r\n", b"GET / HTTP/1.0\r\n\r\n"):
             caller = self.caller()
