--- a/folio/circulation/dialect.py
+++ b/folio/circulation/dialect.py
@@ -8,6 +8,7 @@
 NOT_RUN = b"x-not-run"
 SEAL = b"x-server-seal"
 ATTEMPT = b"x-attempt-id"
+TOLD_ONCE = (ATTEMPT, SEAL)
 
 
 def field(headers: list[tuple[bytes, bytes]], name: bytes) -> bytes | None:
@@ -27,10 +28,10 @@
 
     def doubt(self, status: int, headers: list[tuple[bytes, bytes]], until_close: bool) -> str:
         if until_close:
-            # Guards who is answered: one cut off in order would pass for whole, a failure as much as a success.
+            # Guards who is answered: one cut off in order would pass for whole, as a failure no less.
             return "does not say where it ends"
         names = [name for name, _ in headers]
-        if names.count(ATTEMPT) > 1 or names.count(SEAL) > 1:
+        if any(names.count(name) > 1 for name in TOLD_ONCE):
             # Heads that ran into one another; which of them the body is of would be anybody's guess.
             return "says twice whose it is"
         if 200 <= status < 300:
--- a/folio/circulation/follower.py
+++ b/folio/circulation/follower.py
@@ -50,7 +50,7 @@
         self.on_shun: Callable[[list[str]], None] = lambda ids: None
         self.leased_at = -1e9   # when a lease was last missing
         self.draws: dict[int, Callable[[int, float], None]] = {}
-        # Begun with the life: registries pass an answer on by the desk's name, also to a life that never asked.
+        # Begun with the life: registries pass answers on by the desk's name, whichever life it is in.
         self.last_draw = self.life << DRAW_BITS
         self.members = 0
         self.link: Link | None = None
--- a/folio/reference/model_check.py
+++ b/folio/reference/model_check.py
@@ -23,6 +23,7 @@
 PARTS = {
     "agreement": "folio.consensus.check",
     "lending": "folio.lending.check",
+    "callers": "folio.stacks.check_callers",
 }
 GROUPS = {"both": ("agreement", "lending"), "all": tuple(PARTS)}
 CHUNK = 8       # schedules that a process plays before it is given more
--- a/folio/registry/daemon.py
+++ b/folio/registry/daemon.py
@@ -51,7 +51,7 @@
 from folio.vault.store import Store
 
 TELL, REPAIR, SAVE = 0.5, 1.0, 1.0  # s between news to registries, comparisons of registers, writes of ours
-TICKET_BITS = 10    # of a ticket below the microseconds at which the process began: more take longer to give out
+TICKET_BITS = 10    # of a ticket, below the microseconds at which the process began
 QUIET = 2.6     # beats without a sign of life after which desks are told that a server is silent
 
 
--- a/folio/registry/slips.py
+++ b/folio/registry/slips.py
@@ -10,8 +10,8 @@
 class Slips:
     """The calls that wait, by ticket.
 
-    Tickets are numbers above `first` that are given out once.  Some travel to other registries and back, which
-    may answer another life of this one: each life has a `first` far above those given out before.
+    Tickets are numbers above `first` that are given out once.  Some travel to other registries and back, and
+    what answers an earlier life may come to a later one: so `first` is above all given out before.
     """
 
     def __init__(self, first: int = 0) -> None:
--- /dev/null
+++ b/folio/stacks/callers_mutants.py
@@ -0,0 +1,229 @@
+"""The code that the model check of callers plays, without one of its guards at a time."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import contextmanager
+from typing import Any
+
+import msgspec
+
+from fennelpoint.interface import Status
+from fennelpoint.net import backends
+from fennelpoint.net import server as fronts
+from folio.circulation import clerk as clerks
+from folio.circulation import desk, dialect, follower
+from folio.circulation.dialect import ServerDialect
+from folio.registry.slips import Slips
+from folio.schedules import Mutant, Report
+from folio.transport import messages as m
+from folio.transport.http import Call, Caller
+from folio.transport.links import Link
+
+
+@contextmanager
+def without(*changes: tuple[object, str, object]) -> Iterator[None]:
+    """Within this, attributes of classes or modules are others: (owner, name, value)."""
+    before = [(owner, name, vars(owner)[name]) for owner, name, _ in changes]
+    for owner, name, value in changes:
+        setattr(owner, name, value)
+    try:
+        yield
+    finally:
+        for owner, name, value in before:
+            setattr(owner, name, value)
+
+
+def _outcome_of_none(kinds: tuple[Status, ...]) -> Callable:
+    """`Clerk.outcome` that takes such an end for one before the server had the request."""
+    told = clerks.Clerk.outcome
+
+    def outcome(self: clerks.Clerk, number: int, attempt: int, status: Status, *more: Any) -> list:
+        return told(self, number, attempt, Status.CONNECT_FAILED if status in kinds else status, *more)
+
+    return outcome
+
+
+def _hedge_all(self: clerks.Clerk, t: clerks.Try, now: float,
+               told: Callable = clerks.Clerk._send) -> list | None:
+    out = told(self, t, now)
+    if out is not None and not t.route.safe and t.attempts < t.route.tries:
+        t.hedge_at = now + 0.2
+        out.append(clerks.Wake(t.id, t.hedge_at))
+    return out
+
+
+def _refuse_all(self: clerks.Clerk, t: clerks.Try, status: Status, now: float,
+                told: Callable = clerks.Clerk._again) -> list:
+    # What ran and may not be sent again is told that it has not run.
+    if t.ran and not t.route.safe:
+        return self._refuse(t, now, status.value)
+    return told(self, t, status, now)
+
+
+def _endless(self: ServerDialect, status: int, headers: list, until_close: bool,
+             told: Callable = ServerDialect.doubt) -> str:
+    return told(self, status, headers, False)
+
+
+def _take_cut(self: backends.UpstreamConnection) -> None:
+    if self.exchange is not None and self.status >= 200 and not (self.in_head or self.doubt or self.alien):
+        self._answered()
+
+
+def _spoilt_unrun(self: backends.UpstreamConnection, what: str) -> None:
+    exchange = self.exchange
+    self.give_up()
+    exchange.end(Status.CONNECT_FAILED)
+
+
+def _keep_all(self: backends.UpstreamConnection,
+              told: Callable = backends.UpstreamConnection._answered) -> None:
+    self.excess = self.tainted = False
+    told(self)
+
+
+def _hear_all(self: backends.UpstreamConnection, count: int,
+              told: Callable = backends.UpstreamConnection.buffer_updated) -> None:
+    if self.exchange is not None:
+        told(self, count)
+
+
+def _passing_begin(self: desk.Passing, answer: Any, length: int | None, source: Any) -> None:
+    ticket = self.ticket
+    if ticket.client is None:
+        return
+    if ticket.passing is not None:
+        return ticket.client.piece(answer.body)
+    ticket.passing = self
+    if ticket.timer is not None:
+        ticket.timer.cancel()
+    ticket.client.begin(answer, length, source)
+
+
+def _passing_piece(self: desk.Passing, data: bytes) -> None:
+    if self.ticket.client is not None:
+        self.ticket.client.piece(data)
+
+
+def _draw_any(self: follower.Follower, link: Link, message: m.Message,
+              told: Callable = follower.Follower._heard) -> None:
+    if isinstance(message, m.Drawn) and self.draws and link is self.link:
+        message = msgspec.structs.replace(message, number=next(iter(self.draws)))
+    told(self, link, message)
+
+
+def _draw_kept(self: follower.Follower, link: Link, message: m.Message,
+               told: Callable = follower.Follower._heard) -> None:
+    done = self.draws.get(message.number) if isinstance(message, m.Drawn) else None
+    told(self, link, message)
+    if done is not None:
+        self.draws[message.number] = done
+
+
+def _from_one(self: follower.Follower, *args: Any, told: Callable = follower.Follower.__init__) -> None:
+    told(self, *args)
+    self.last_draw = 0
+
+
+def _out_of_turn(self: Caller) -> None:
+    while self.waiting:
+        call = self.waiting.pop(0)
+        self.busy = True
+        if call.method:
+            self.serve(call)
+        else:
+            call.reply(400)
+
+
+def _same_ticket(self: Slips) -> int:
+    return 1
+
+
+def _slips_from_one(self: Slips, first: int = 0, told: Callable = Slips.__init__) -> None:
+    told(self, 0)
+
+
+def _go_on_at_once(self: Caller, told: Callable = Caller.on_headers_complete) -> None:
+    if self.expects:
+        self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+
+def _keep_call(self: Slips, ticket: object, status: int, body: bytes) -> None:
+    if (call := self._waiting.get(ticket)) is not None:
+        call.reply(status, body)
+
+
+def _reply_again(self: Call, *args: Any, told: Callable = Call.reply, **fields: Any) -> None:
+    self.answered = False
+    told(self, *args, **fields)
+
+
+def _finish_broken(self: fronts.ClientConnection) -> None:
+    self.finish()
+
+
+def _front_out_of_turn(self: fronts.ClientConnection, told: Callable = fronts.ClientConnection._next) -> None:
+    self.open = None
+    told(self)
+
+
+CONNECTION = backends.UpstreamConnection
+
+
+def mutants(run: Callable[[Iterable[int]], Report]) -> tuple[Mutant, ...]:
+    """Each guard left out, by changes of attributes for as long as `run` plays."""
+    def mutant(guard: str, seed: int | None, *changes: tuple[object, str, object], why: str = "") -> Mutant:
+        def play_it(seeds: Iterable[int]) -> Report:
+            with without(*changes):
+                return run(seeds)
+
+        return Mutant(guard, play_it, seed, why)
+
+    return (
+        mutant("the id of an answer compared", None, (ServerDialect, "alien", lambda *_: False)),
+        mutant("an answer without an id refused on a used connection", None,
+               (ServerDialect, "nameless", lambda *_: False)),
+        mutant("an answer that names two refused", None, (dialect, "TOLD_ONCE", ())),
+        mutant("an answer refused that does not say where it ends", None, (ServerDialect, "doubt", _endless)),
+        mutant("an answer cut short taken for none", None, (CONNECTION, "eof_received", _take_cut)),
+        mutant("a large answer cut short shown to be", None,
+               (fronts.ClientConnection, "broken", _finish_broken)),
+        mutant("a connection closed after extra bytes", None, (CONNECTION, "_answered", _keep_all)),
+        mutant("a connection closed where bytes come unasked", None,
+               (CONNECTION, "buffer_updated", _hear_all),
+               why="needless for who is answered: what follows is no answer, or another's by its id, or names "
+                   "none; it spares requests a connection that is out of step"),
+        mutant("a connection looked at before it is used again", None,
+               (CONNECTION, "stale", lambda self: self.closed),
+               why="needless for who is answered: what meets a close may have run; it spares requests that"),
+        mutant("no unsafe request sent again after a reset", None,
+               (clerks.Clerk, "outcome", _outcome_of_none((Status.RESET,)))),
+        mutant("no unsafe request sent again after an answer that is none", None,
+               (CONNECTION, "_spoilt", _spoilt_unrun)),
+        mutant("no unsafe request sent again after a failure", None,
+               (clerks.Clerk, "outcome", _outcome_of_none((Status.ERROR,)))),
+        mutant("no unsafe request sent again after silence", None, (clerks.Clerk, "_send", _hedge_all)),
+        mutant("no 503 for what may have run", None, (clerks.Clerk, "_again", _refuse_all)),
+        mutant("a server's promise passed on only with X-Not-Run", None, (clerks, "NOT_RUN", frozenset())),
+        mutant("one attempt's large answer begun", None, (desk.Passing, "begin", _passing_begin)),
+        mutant("one attempt's pieces passed on", None, (desk.Passing, "piece", _passing_piece)),
+        mutant("requests of a client served in turn", None,
+               (fronts.ClientConnection, "_next", _front_out_of_turn)),
+        mutant("the number of a draw compared", None, (follower.Follower, "_heard", _draw_any)),
+        mutant("a draw's answer counted once", None, (follower.Follower, "_heard", _draw_kept)),
+        mutant("numbers of draws begun with the life", None, (follower.Follower, "__init__", _from_one)),
+        mutant("calls of a connection served in turn", None, (Caller, "_next", _out_of_turn)),
+        mutant("each ticket given out once", None, (Slips, "number", _same_ticket)),
+        mutant("a call taken off with its answer", None, (Slips, "reply", _keep_call),
+               why="needless while a second answer to a call is dropped"),
+        mutant("a second answer to a call dropped", None, (Call, "reply", _reply_again),
+               why="needless while a call is taken off with its answer"),
+        mutant("tickets begun with the life of the registry", None, (Slips, "__init__", _slips_from_one),
+               why="beyond the check: an answer of another registry has to meet a look of a later life with "
+                   "the same number"),
+        mutant("100 Continue told in a call's turn only", None,
+               (Caller, "on_headers_complete", _go_on_at_once)),
+        mutant("an answer kept from who has left", None, (desk.Desk, "gone", lambda *_: None),
+               why="needless for who is answered: a lost connection writes nothing more; it spares servers work"),
+    )
