--- a/folio/stacks/check_callers.py
+++ b/folio/stacks/check_callers.py
@@ -1,9 +1,10 @@
 """Model check of who is answered: scripted peers before the real desk and the real registries.
 
-`run` plays seeded schedules on virtual time and links; every fourth is a sweep, every fourth of the control
-side.  Servers, clients, callers and the desk's registry are scripts (`folio.stacks.scripted`): they answer late,
-twice, in part, with another's id, with none, with bytes that are no answer; they fall silent, close or reset at
-any byte, or close just as the next request comes.  Between them is the code that is deployed.  Watched is that
+`run` plays seeded schedules on virtual time and links; every fourth is a sweep, every fourth of the
+control side.  Servers, clients, callers and the desk's registry are scripts (`folio.stacks.scripted`): they
+answer late, twice, in part, with another's id, with none, with bytes that are no answer; they fall silent,
+close or reset at any byte, or close just as the next request comes.  Between them is the code that is
+deployed.  Watched is that
 
 - a client gets the whole answer to its own request or none: no success is another's, cut short or doubled,
   and no byte comes that belongs to no request;
--- a/folio/stacks/scripted.py
+++ b/folio/stacks/scripted.py
@@ -140,7 +140,7 @@
     """A plan by chance."""
     act = rng.choice(ACTS)
     return Plan(act, rng.choice((0.0, 0.0, 0.0, 0.002, 0.02, 0.25, 0.5, 1.2)), rng.choice(MOMENTS),
-                rng.randrange(260), rng.choice(FAULTS), rng.random() < 0.3,
+                rng.randrange(rng.choice((260, 260, 2 * LARGE))), rng.choice(FAULTS), rng.random() < 0.3,
                 rng.choice((0, 0, 0, 40, LARGE, 2 * LARGE)), rng.choice((1, 1, 2, 5)),
                 rng.choice((0.003, 0.003, 0.15)), rng.choice(NEXT))
 
--- /dev/null
+++ b/tests/folio/test_check_callers.py
@@ -0,0 +1,45 @@
+"""The model check of callers: a fixed set of its schedules, and what each guard that it knows of is for."""
+
+import unittest
+
+from fennelpoint.net.backends import UpstreamConnection
+from folio.circulation.dialect import ServerDialect
+from folio.reference.model_check import known
+from folio.stacks import check_callers
+from folio.stacks.check_callers import FAULTS, STRIDE, SWEEP_EACH, Sweep
+
+
+class Schedules(unittest.TestCase):
+    def test_a_fixed_set_breaks_nothing_and_answers_many(self):
+        report = check_callers.run(range(64))
+        self.assertEqual(report.violations, [])
+        for outcome in ("200", "429", "500", "502", "503", "504", "no answer", "drain 200", "leave 200",
+                        "retire 200", "look 200", "read 200", "change 200", "change 412", "unknown 404"):
+            self.assertGreater(report.outcomes[outcome], 0, outcome)
+
+    def test_a_seed_plays_the_same_each_time(self):
+        for seed in range(4):
+            one, other = check_callers.run([seed]), check_callers.run([seed])
+            self.assertEqual((one.events, one.outcomes), (other.events, other.outcomes))
+
+    def test_the_sweeps_of_a_thousand_seeds_meet_each_byte_with_each_fault(self):
+        sweeps = [Sweep(seed) for seed in range(0, 960, SWEEP_EACH)]
+        places = {(one.fault, one.kind, one.side, one.first) for one in sweeps}
+        self.assertEqual(len(places), len(FAULTS) * 2 * 3 * STRIDE)
+
+
+class Mutants(unittest.TestCase):
+    def test_each_is_found_at_its_seed_and_taken_back(self):
+        before = ServerDialect.alien, UpstreamConnection._answered
+        for mutant, violations in known("callers"):
+            with self.subTest(mutant.guard):
+                self.assertTrue(violations)
+        self.assertEqual((ServerDialect.alien, UpstreamConnection._answered), before)
+
+    def test_what_is_never_found_says_why(self):
+        for mutant in check_callers.MUTANTS:
+            self.assertTrue((mutant.seed is None) == bool(mutant.why), mutant.guard)
+
+
+if __name__ == "__main__":
+    unittest.main()
