An attempt slower than another is given up at the client's deadline

Cause: the answer to a request ended its timer, and with it the only bound on what else was out for it. A server that fell silent on a request that another one answered held its connection, the request and its id without end, and a desk told to stop waited for them until its grace was over. Change: the timer runs on until nothing is out; from the first bytes of a large answer on it ends the others alone.

--- a/folio/circulation/desk.py
+++ b/folio/circulation/desk.py
@@ -63,8 +63,6 @@
         if ticket.client is None or ticket.passing is not None:
             return      # another attempt was quicker; what comes is dropped
         ticket.passing = self
-        if ticket.timer is not None:
-            ticket.timer.cancel()
         ticket.client.begin(answer, length, source)
 
     def piece(self, data: bytes) -> None:
@@ -288,8 +286,6 @@
         client, ticket.client = ticket.client, None
         if client is None:
             return
-        if ticket.timer is not None:
-            ticket.timer.cancel()
         if ticket.asked.upload is not None:
             ticket.asked.upload.drop()
         self._forget(ticket)
@@ -301,11 +297,20 @@
     def _forget(self, ticket: Ticket) -> None:
         if ticket.client is None and not ticket.out and self.tickets.pop(ticket.id, None) is not None:
             self.open_ids.discard(ticket.asked.txn)
+            if ticket.timer is not None:
+                ticket.timer.cancel()
 
     def _expire(self, ticket: Ticket) -> None:
-        """The client's time is up."""
-        if ticket.client is None:
-            return
+        """The client's time is up: it is answered, unless it has been or a large answer is on its way."""
+        if ticket.client is not None and ticket.passing is None:
+            self._time_out(ticket)
+        # Guards the connections: what was slower than the answer may never end by itself.
+        for number, exchange in list(ticket.out.items()):
+            if ticket.passing is None or number != ticket.passing.number:
+                exchange.give_up(Status.TIMEOUT)
+
+    def _time_out(self, ticket: Ticket) -> None:
+        """Answer a request that has waited as long as its client does."""
         self._do(self.clerk.over(ticket.id, clock.monotonic()))
         if ticket.client is not None and ticket.drawing:
             # It waits for the reserve: no server has had it.
@@ -314,8 +319,6 @@
             # Guards against a decision that has lost a request: its answer must not wait for it.
             logs.say("lost_track", id=ticket.asked.txn.decode("latin-1"))
             self._finish(ticket, lambda c: c.answered(504, [], b"out of time\n"), 504, "lost_track")
-        for exchange in list(ticket.out.values()):
-            exchange.give_up(Status.TIMEOUT)
 
     # Upkeep
 
--- a/folio/stacks/callers_mutants.py
+++ b/folio/stacks/callers_mutants.py
@@ -168,6 +168,11 @@
     told(self)
 
 
+def _expire_answered(self: desk.Desk, ticket: desk.Ticket, told: Callable = desk.Desk._expire) -> None:
+    if ticket.client is not None:
+        told(self, ticket)
+
+
 CONNECTION = backends.UpstreamConnection
 
 
@@ -224,6 +229,7 @@
                    "the same number"),
         mutant("100 Continue told in a call's turn only", 5,
                (Caller, "on_headers_complete", _go_on_at_once)),
+        mutant("a slower attempt given up at the deadline", 18, (desk.Desk, "_expire", _expire_answered)),
         mutant("an answer kept from who has left", None, (desk.Desk, "gone", lambda *_: None),
                why="needless for who is answered: a lost connection writes nothing more; it spares work"),
     )
--- a/folio/stacks/check_callers.py
+++ b/folio/stacks/check_callers.py
@@ -78,6 +78,7 @@
         self.daemon: daemon.Process | None = None
         self.lives = 0
         self.lent: Counter = Counter()
+        self.ends: list[ClientEnd] = []
         self.clients = scene.network.process("clients", "10.9.0.1")
         self.kinds = ("safe", "safe", "once", "once", "kept")
         self.heavy = self.rng.random() < 0.15
@@ -103,8 +104,20 @@
                 raise Violation("the desk has no configuration")
             self._acts()
             self.world.settle()
+            self._settle_desk()
         self._settle_draws()
 
+    def _settle_desk(self) -> None:
+        """Once all clients have gone and all time is up, the desk holds nothing for anybody."""
+        for end in self.ends:
+            if end.usable:
+                end.leave()
+        self.world.run(self.world.now + 2.0)
+        one = self.daemon.desk
+        if one.tickets or one.open_ids or one.backends.budget.used:
+            raise Violation(f"the desk still holds {len(one.tickets)} requests, {len(one.open_ids)} ids and "
+                            f"{one.backends.budget.used} bytes")
+
     def _begin(self) -> None:
         scene = self.world
         for at, name in enumerate(SERVERS):
@@ -151,6 +164,7 @@
     def connect(self, made: Callable[[ClientEnd], None]) -> None:
         """Open a client's connection."""
         end = ClientEnd(self.world)
+        self.ends.append(end)
         future = self.clients.loop.create_future()
         future.add_done_callback(lambda f: made(end) if not f.cancelled() and f.exception() is None else None)
         self.world.network.dial(self.clients, lambda: end, DESK, 8405, future)
--- a/tests/folio/test_check_callers.py
+++ b/tests/folio/test_check_callers.py
@@ -6,7 +6,41 @@
 from folio.circulation.dialect import ServerDialect
 from folio.reference.model_check import known
 from folio.stacks import check_callers
-from folio.stacks.check_callers import FAULTS, STRIDE, SWEEP_EACH, Sweep
+from folio.stacks.check_callers import FAULTS, STRIDE, SWEEP_EACH, BeforeDesk, Plan, Sweep, request
+
+
+class Slow(BeforeDesk):
+    """One request, which the server that has it first never answers."""
+
+    asked: str | None = None
+
+    def plan(self, server, attempt):
+        self.asked = self.asked or server
+        if server == self.asked:
+            return Plan("cut", fault="silence")
+        return Plan(size=self.size, pieces=5, pause=0.2) if self.size else Plan()
+
+    def _acts(self):
+        attempt = self.world.name("safe")
+
+        def ask(end):
+            end.asked.append(attempt)
+            end.write(b"".join(request(attempt)))
+
+        self.daemon.desk.budget.may_retry = lambda svc, now: True  # which a desk earns by requests
+        self.connect(ask)
+        self.world.run(self.world.now + 4.0)
+
+
+class SlowerAttempts(unittest.TestCase):
+    def test_one_that_never_ends_is_given_up_though_another_has_answered(self):
+        # Small; and large, of which a part is still to come when the client's time is up.
+        for size in (0, 200_000):
+            schedule = Slow(1, 0)
+            schedule.size = size
+            schedule.play()
+            self.assertEqual((schedule.world.outcomes["200"], schedule.world.outcomes.total()), (1, 1))
+            self.assertEqual(len(next(iter(schedule.world.got.values()))), 2)
 
 
 class Schedules(unittest.TestCase):
