Model check of callers: desks that are told to stop, and start again

Cause: the hand-over at a restart was played as a kill alone. Change: a third of the restarts are by SIGTERM.

--- a/folio/stacks/check_callers.py
+++ b/folio/stacks/check_callers.py
@@ -160,6 +160,18 @@
         self.world.network.ended(self.process)
         self.world.later(self.rng.choice((0.01, 0.2)), self.start)
 
+    def stop(self) -> None:
+        """The desk is told to stop, ends once nobody waits, or its grace is over, and starts again."""
+        process, one = self.process, self.daemon
+
+        def ended(_: object) -> None:
+            one.close()
+            self.world.network.ended(process)
+            self.world.later(0.01, self.start)
+
+        process.loop.call_soon(one.stop)
+        one.stopped.add_done_callback(ended)
+
     def _settle_draws(self) -> None:
         for who, count in self.lent.items():
             if count > (units := self.registrar.units(*who)):
@@ -190,8 +202,8 @@
         each = max(1, self.steps // walkers)
         for _ in range(walkers):
             world.later(rng.uniform(0.0, 0.1), self._walk, each)
-        if rng.random() < (0.7 if lending else 0.3):
-            world.later(rng.uniform(0.1, 1.0), self.kill)
+        if rng.random() < (0.7 if lending else 0.4):
+            world.later(rng.uniform(0.1, 1.0), rng.choice((self.kill, self.kill, self.stop)))
         if rng.random() < 0.5:
             world.later(rng.uniform(0.0, 1.0), self.registrar.drop)
         world.run(world.now + 3.0 + 0.1 * each)
