--- a/folio/registry/agreement.py
+++ b/folio/registry/agreement.py
@@ -11,7 +11,7 @@
 from folio.consensus.node import Node
 from folio.consensus.records import Answer, Apply, Fresh, Persist, Send, Taken
 from folio.registry.disk import Archive
-from folio.registry.machine import Again, Machine
+from folio.registry.machine import Again, Forgotten, Machine
 from folio.registry.slips import Slips, refusal
 from folio.transport.http import Call
 
@@ -93,5 +93,9 @@
         elif isinstance(outcome, CatalogueError):
             logs.say("change_refused", status=outcome.status, reason=outcome)
             call.reply(outcome.status, refusal(str(outcome)))
+        elif isinstance(outcome, Forgotten):
+            # A refusal might be wrong, and so might an acknowledgement.
+            logs.say("change_forgotten")
+            call.reply(503, refusal("whether this change was taken is not remembered"))
         else:
             call.reply(503, refusal("no majority has answered in time"), fields=(("Retry-After", "0.2"),))
--- /dev/null
+++ b/tests/folio/test_check_orders.py
@@ -0,0 +1,87 @@
+"""Orders: what the state remembers of taken changes."""
+
+import unittest
+
+import msgspec
+
+from folio.catalogue.structs import CatalogueError, parse_change
+from folio.consensus.messages import Change as Entry
+from folio.registry.machine import EARLIER, RECENT, Again, Forgotten, Machine, Taken
+
+
+def order(ver, parent, name="a"):
+    objs = f'[{{"type":"svcs","meta":{{"name":"{name}"}},"spec":{{}}}}]'
+    body = f'{{"ver":"{ver:08x}","parent":"{parent:08x}","objs":{objs}}}'
+    return parse_change("PUT", body.encode())
+
+
+def taking(machine, count, first=1):
+    """Have a machine take so many changes, one on the other."""
+    for ver in range(first, first + count):
+        entry = machine.verdict(order(ver, ver - 1), f"t{ver}")
+        machine.apply(ver, entry)
+    return machine
+
+
+class StateBefore(msgspec.Struct, array_like=True):
+    """What the version before keeps on disks and sends as a snapshot."""
+
+    whole: bytes
+    taken: list[Taken]
+
+
+class MemoryTest(unittest.TestCase):
+    """Verdicts on orders that come again. Told as letters: A again, F forgotten, else the status."""
+
+    def told(self, machine, *orders):
+        letters = {Again: "A", Forgotten: "F", Entry: "taken"}
+        verdicts = [machine.verdict(one, "t") for one in orders]
+        return " ".join(str(one.status) if isinstance(one, CatalogueError) else letters[type(one)]
+                        for one in verdicts)
+
+    def test_an_order_taken_hundreds_of_changes_ago_is_acknowledged_again(self):
+        machine = taking(Machine(), 600)
+        self.assertEqual(self.told(machine, order(1, 0), order(300, 299), order(600, 599)), "A A A")
+        self.assertEqual(self.told(machine, order(300, 299, "b"), order(600, 600), order(601, 600)),
+                         "412 400 taken")
+
+    def test_the_memory_goes_with_the_state(self):
+        after = Machine()
+        after.give(taking(Machine(), 600).take())
+        self.assertEqual(self.told(after, order(1, 0), order(600, 599), order(1, 0, "b")), "A A 412")
+
+    def test_what_was_forgotten_gets_no_clear_answer_unless_it_never_was_valid(self):
+        machine = taking(Machine(recent=2, kept=3), 10)
+        self.assertEqual(machine.forgotten, 5)
+        self.assertEqual(self.told(machine, *(order(ver, ver - 1) for ver in (1, 5, 6, 10))), "F F A A")
+        self.assertEqual(self.told(machine, order(5, 4, "b"), order(6, 5, "b"), order(5, 10), order(5, 5)),
+                         "F 412 400 412")
+
+    def test_the_memory_is_bounded(self):
+        machine = Machine()
+        for ver in range(1, RECENT + EARLIER + 11):
+            one = order(ver, ver - 1)
+            machine.apply(ver, Entry("t", ver, ver - 1, True, one.body, one.digest))
+        self.assertEqual((len(machine.taken), len(machine.earlier), machine.forgotten),
+                         (RECENT, EARLIER, 10))
+        self.assertLess(len(machine.take()), RECENT * 90 + EARLIER * 20 + 200)
+
+    def test_a_state_of_the_version_before_is_read_and_the_other_way_round(self):
+        now = taking(Machine(), 300)
+        before = StateBefore(now.config.dump(), list(now.taken.values()))
+        machine = Machine()
+        machine.give(msgspec.msgpack.encode(before))
+        # It kept the last 256, so nobody knows of those up to 44.
+        self.assertEqual(self.told(machine, order(44, 43), order(45, 44), order(300, 299)), "F A A")
+        self.assertEqual(msgspec.msgpack.decode(now.take(), type=StateBefore), before)
+        young = StateBefore(order(3, 2).body, list(taking(Machine(), 3).taken.values()))
+        machine.give(msgspec.msgpack.encode(young))
+        self.assertEqual(self.told(machine, order(1, 0, "b"), order(1, 0)), "412 A")
+
+    def test_a_state_that_is_cut_short_is_not_taken(self):
+        with self.assertRaises(msgspec.DecodeError):
+            Machine().give(msgspec.msgpack.encode((order(1, 0).body, [], b"short", 0)))
+
+
+if __name__ == "__main__":
+    unittest.main()
