--- a/folio/stacks/faults.py
+++ b/folio/stacks/faults.py
@@ -284,22 +284,28 @@
 
 def config_shift(cell: Cell, fault: Fault) -> None:
     """Routes go to the service `to`."""
-    _change_routes(cell, fault, False)
+    _change_routes(cell, fault, 1)
 
 
 def config_race(cell: Cell, fault: Fault) -> None:
-    """As config_shift, while another operator sends the same on the same version."""
-    _change_routes(cell, fault, True)
+    """As config_shift, while another operator sends the same on the same version, or `amount` do."""
+    _change_routes(cell, fault, max(2, int(fault.amount)))
 
 
-def _change_routes(cell: Cell, fault: Fault, race: bool) -> None:
+def orders_lost(cell: Cell, fault: Fault) -> None:
+    """A part `amount` of the answers to operators is lost for `span`; the orders come again."""
+    cell.operator.lost = fault.amount
+    cell.later(fault.span, setattr, cell.operator, "lost", 0.0)
+
+
+def _change_routes(cell: Cell, fault: Fault, rivals: int) -> None:
     operator, upsert = cell.operator, {}
     for route in drawn(cell, cell.deployment.routes, fault):
         spec = operator.spec("routes", route.name)
         spec.pop("split", None)
         spec["svc"] = fault.to
         upsert["routes", route.name] = spec
-    operator.change(upsert, race=race)
+    operator.change(upsert, rivals=rivals)
 
 
 def config_split(cell: Cell, fault: Fault) -> None:
@@ -349,4 +355,5 @@
     one.__name__: one for one in (
         kill, stop, power, wipe, freeze, slow, clock, cut, link, disk_hang, disk_slow, disk_full,
         server_crash, server_dark, server_flap, server_grey, server_slow, lost_answers, garble, retire,
-        release, load, lose_zone, config_shift, config_race, config_split, config_grow, revoke, quota)}
+        release, load, lose_zone, config_shift, config_race, config_split, config_grow,
+        orders_lost, revoke, quota)}
--- a/folio/stacks/operator.py
+++ b/folio/stacks/operator.py
@@ -32,6 +32,7 @@
         self.queue: list[Callable[[], None]] = []
         self.busy = False
         self.read: bytes | None = None
+        self.lost = 0.0         # part of the answers that get lost on their way
 
     # What there is
 
@@ -65,11 +66,14 @@
     # Changes
 
     def change(self, upsert: dict[tuple[str, str], dict[str, Any]],
-               remove: tuple[tuple[str, str], ...] = (), race: bool = False) -> None:
-        """Change some items; with `race` another operator sends a change on the same version at once."""
+               remove: tuple[tuple[str, str], ...] = (), rivals: int = 1) -> None:
+        """Change some items; `rivals` operators send as many changes on the same version at once.
+
+        A rival beyond the second uses the number of the first, for something else.
+        """
         items = {(kind, name): {"type": kind, "meta": {"name": name}, "spec": spec}
                  for (kind, name), spec in upsert.items()}
-        self._do(lambda: self._send("PATCH", items, remove, race))
+        self._do(lambda: self._send("PATCH", items, remove, rivals))
 
     def spec(self, kind: str, name: str) -> dict[str, Any]:
         """A copy of an item as it is in force, for changing."""
@@ -84,27 +88,32 @@
             self.busy = True
             self.queue.pop(0)()
 
-    def _send(self, method: str, upsert: dict, remove: tuple = (), race: bool = False) -> None:
-        rivals = 2 if race else 1
-        parent = self.ver
+    def _send(self, method: str, upsert: dict, remove: tuple = (), rivals: int = 1) -> None:
+        parent, first = self.ver, 0
         after = dict(self.items)
         for key in remove:
             after.pop(key, None)
         after.update(upsert)
         left = rivals
-        for _ in range(rivals):
-            self.last += 1 + self.rng.randrange(3)
-            told: dict[str, Any] = {"ver": f"{self.last:08x}", "parent": f"{parent:08x}"}
+        for rival in range(rivals):
+            if rival < 2:
+                self.last += 1 + self.rng.randrange(3)
+            ver = first if rival > 1 else self.last
+            first = first or ver
+            told: dict[str, Any] = {"ver": f"{ver:08x}", "parent": f"{parent:08x}"}
             if method == "PUT":
                 told["objs"] = list(after.values())
             else:
-                told["upsert"] = {"objs": list(upsert.values())}
+                objs = list(upsert.values())
+                if rival > 1:
+                    objs.append({"type": "svcs", "meta": {"name": f"rival-{rival}"}, "spec": {}})
+                told["upsert"] = {"objs": objs}
                 gone: dict[str, list[str]] = {}
                 for kind, name in remove:
                     gone.setdefault(kind, []).append(name)
                 told["remove"] = gone
             body = msgspec.json.encode(told)
-            version = Version(self.last, parent, *_meaning(after), body, self.world.now)
+            version = Version(ver, parent, *_meaning(after), body, self.world.now)
             self.cell.judge.versions.append(version)
 
             def done(status: int, version: Version = version) -> None:
@@ -117,6 +126,9 @@
                         self.cell.acknowledged(version)
                 else:
                     version.refused = status
+                # Of those under one number the judge is to find the one that was taken.
+                self.cell.judge.versions[-rivals:] = sorted(
+                    self.cell.judge.versions[-rivals:], key=lambda one: one.acked_at is None)
                 if not left:
                     self.busy = False
                     self._next()
@@ -128,6 +140,8 @@
         at = self.cell.a_registry(self.rng, avoid)
 
         def answered(answer: wire.Answer | None) -> None:
+            if self.lost and self.rng.random() < self.lost:
+                answer = None
             if answer is not None and (answer.status == 200 or answer.status in FINAL):
                 return done(answer.status)
             pause = min(PAUSE_MOST, PAUSE * 1.5 ** tries)
