A confirmation that a server leaves speaks for the calls that wait, and for no later one

Cause: a voter's word that it holds a record counted for five more seconds of the server's calls. A registry that had been cut off answered 200 to a drain with no voter in reach, and would have when the voter had lost its disk. Change: a ticket gathers its own voters; nothing is kept between calls. What the parameter 'fresh' asked for is the only way now. A test said that a later call finds what was gathered before: it asked for the fault, and now asks for the opposite, as strictly.

--- a/folio/accession/quorum.py
+++ b/folio/accession/quorum.py
@@ -4,6 +4,9 @@
 although any minority of those that knew may be lost in the same moment.  What a server says of itself it
 says again with each beat; what the operator says is said once, so a voter has it on its disk before it
 confirms it, and our own copy counts no sooner.
+
+A confirmation counts for the calls that wait when it comes, and for no later one: by then its voter may be
+cut off from us, or have lost what it held.
 """
 
 from collections.abc import Hashable, Iterable
@@ -14,7 +17,6 @@
 
 WAIT = 0.7  # seconds until a call is told to come back; a server gives up after one second
 AGAIN = 0.2  # seconds after which an unanswered message is sent once more
-KNOWN_FOR = 5.0  # seconds for which a confirmation also speaks for the server's next calls
 
 
 class QuorumError(Exception):
@@ -50,7 +52,7 @@
 
 
 class _Ticket:
-    __slots__ = ("ticket", "record", "voters", "begun", "sent")
+    __slots__ = ("ticket", "record", "voters", "begun", "sent", "holders")
 
     def __init__(self, ticket: Hashable, record: Record, voters: frozenset[str], now: float):
         self.ticket = ticket
@@ -58,6 +60,16 @@
         self.voters = voters
         self.begun = now
         self.sent = now
+        self.holders: set[str] = set()  # those of the voters that have it
+
+    @property
+    def held(self) -> bool:
+        return len(self.holders) >= majority(len(self.voters))
+
+    def messages(self) -> list[tuple[str, Hold]]:
+        """What asks those that have not confirmed it."""
+        hold = Hold(self.record)
+        return [(voter, hold) for voter in sorted(self.voters - self.holders)]
 
 
 class Pending:
@@ -67,7 +79,6 @@
         self.me = me
         self._waiting: dict[Hashable, _Ticket] = {}
         self._tickets: dict[str, set[Hashable]] = {}  # those that wait, by id
-        self._known: dict[str, dict[str, tuple[int, int, float]]] = {}  # id -> voter -> (phase, epoch, when)
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -79,15 +90,13 @@
         voters: Iterable[str],
         now: float,
         reachable: Iterable[str] | None = None,
-        fresh: bool = False,
     ) -> tuple[list[tuple[str, Hold]], bool]:
         """Start waiting for a majority to hold ``record``, which our own register holds already.
 
-        Returns the messages to send as (address, Hold), and whether a majority is known to hold it already,
-        in which case ``ticket`` is not kept.  A record with an epoch of the operator's goes to ourselves too,
-        as it has to be on our disk.  ``fresh``: what was confirmed before does not count, as the caller wants
-        to hear of later epochs.  Raises QuorumError when no voters are known, or when those ``reachable``
-        (None: not known) and ourselves are no majority.
+        Returns the messages to send as (address, Hold), and whether that is done already (we are the only
+        voter), in which case ``ticket`` is not kept.  A record with an epoch of the operator's goes to
+        ourselves too, as it has to be on our disk.  Raises QuorumError when no voters are known, or when
+        those ``reachable`` (None: not known) and ourselves are no majority.
         """
         everyone = frozenset(voters)
         if not everyone:
@@ -96,24 +105,24 @@
             near = len(everyone.intersection((*reachable, self.me)))
             if near < majority(len(everyone)):
                 raise QuorumError(f"in touch with {near} of {len(everyone)} voters")
-        if fresh:
-            self._known.pop(record.id, None)
         entry = _Ticket(ticket, record, everyone, now)
-        holders = self._holders(entry, now)
-        if len(holders) >= majority(len(everyone)):
+        if not record.retired and self.me in everyone:
+            entry.holders.add(self.me)
+        if entry.held:
             return [], True
         self._waiting[ticket] = entry
         self._tickets.setdefault(record.id, set()).add(ticket)
-        hold = Hold(record)
-        return [(voter, hold) for voter in sorted(everyone - holders)], False
+        return entry.messages(), False
 
-    def confirmed(self, voter: str, ident: str, phase: str, now: float, retired: int = 0) -> list[Hashable]:
+    def confirmed(self, voter: str, ident: str, phase: str, retired: int = 0) -> list[Hashable]:
         """A voter says what it holds of a server. Returns the tickets that may now be acknowledged."""
-        self._known.setdefault(ident, {})[voter] = (PHASES[phase], retired, now)
-        waiting = [self._waiting[ticket] for ticket in self._tickets.get(ident, ())]
-        done = [
-            entry.ticket for entry in waiting if len(self._holders(entry, now)) >= majority(len(entry.voters))
-        ]
+        done = []
+        for entry in [self._waiting[ticket] for ticket in self._tickets.get(ident, ())]:
+            record = entry.record
+            if voter in entry.voters and PHASES[phase] >= PHASES[record.phase] and retired >= record.retired:
+                entry.holders.add(voter)
+                if entry.held:
+                    done.append(entry.ticket)
         for ticket in done:
             self.drop(ticket)
         return done
@@ -124,21 +133,14 @@
         for entry in self._waiting.values():
             if now - entry.sent >= AGAIN:
                 entry.sent = now
-                hold = Hold(entry.record)
-                messages += [(v, hold) for v in sorted(entry.voters - self._holders(entry, now))]
+                messages += entry.messages()
         return messages
 
     def expired(self, now: float) -> list[Hashable]:
-        """Tickets that have waited too long: their calls are answered 503. Old confirmations are dropped."""
+        """Tickets that have waited too long: their calls are answered 503."""
         late = [ticket for ticket, entry in self._waiting.items() if now - entry.begun >= WAIT]
         for ticket in late:
             self.drop(ticket)
-        for ident, told in list(self._known.items()):
-            for voter, (_, _, at) in list(told.items()):
-                if now - at > KNOWN_FOR:
-                    del told[voter]
-            if not told:
-                del self._known[ident]
         return late
 
     def drop(self, ticket: Hashable) -> None:
@@ -148,15 +150,3 @@
             tickets.discard(ticket)
             if not tickets:
                 del self._tickets[entry.record.id]
-
-    def _holders(self, entry: _Ticket, now: float) -> frozenset[str]:
-        rank, retired = PHASES[entry.record.phase], entry.record.retired
-        told = self._known.get(entry.record.id, {})
-        holders = {
-            voter
-            for voter, (has, epoch, at) in told.items()
-            if has >= rank and epoch >= retired and now - at <= KNOWN_FOR
-        }
-        if not retired:
-            holders.add(self.me)
-        return entry.voters.intersection(holders)
--- a/folio/registry/retirements.py
+++ b/folio/registry/retirements.py
@@ -120,7 +120,7 @@
         near = self.peers.near(now, set(voters) - {self.peers.me})
         record = self.register.get(ident, now) or Record(ident, phase="gone")
         try:
-            out, done = self.pending.begin((number, ident), record, voters, now, near, fresh=True)
+            out, done = self.pending.begin((number, ident), record, voters, now, near)
         except quorum.QuorumError as error:
             return self._end(number, 503, refusal(str(error)))
         self.peers.post_all(out)
--- a/tests/folio/test_accession.py
+++ b/tests/folio/test_accession.py
@@ -361,25 +361,32 @@
     def test_only_a_majority_acknowledges(self):
         messages, done = self.pending.begin("t", self.record, self.voters, 0.0)
         self.assertEqual(([to for to, _ in messages], done), (["r2", "r3", "r4", "r5"], False))
-        self.assertEqual(self.pending.confirmed("r2", "a", "draining", 0.1), [])
-        self.assertEqual(self.pending.confirmed("r2", "a", "draining", 0.1), [])
-        self.assertEqual(self.pending.confirmed("r9", "a", "draining", 0.1), [])
-        self.assertEqual(self.pending.confirmed("r3", "a", "up", 0.1), [])
+        self.assertEqual(self.pending.confirmed("r2", "a", "draining"), [])
+        self.assertEqual(self.pending.confirmed("r2", "a", "draining"), [])
+        self.assertEqual(self.pending.confirmed("r9", "a", "draining"), [])
+        self.assertEqual(self.pending.confirmed("r3", "a", "up"), [])
         self.assertEqual([to for to, _ in self.pending.again(0.2)], ["r3", "r4", "r5"])
-        self.assertEqual(self.pending.confirmed("r3", "a", "gone", 0.3), ["t"])
+        self.assertEqual(self.pending.confirmed("r3", "a", "gone"), ["t"])
         self.assertEqual((len(self.pending), self.pending.expired(9.0)), (0, []))
 
     def test_without_a_majority_the_call_is_told_to_come_back(self):
         self.pending.begin("t", self.record, self.voters, 0.0)
-        self.pending.confirmed("r2", "a", "draining", 0.1)
+        self.pending.confirmed("r2", "a", "draining")
         self.assertEqual(self.pending.expired(0.6), [])
         self.assertEqual(self.pending.expired(0.7), ["t"])
-        self.assertEqual(self.pending.confirmed("r3", "a", "draining", 0.8), [])
-        # The server's next call finds what was gathered meanwhile.
-        self.assertEqual(self.pending.begin("u", self.record, self.voters, 1.0), ([], True))
-        messages, done = self.pending.begin("v", self.record, self.voters, 9.0)
+        self.assertEqual(self.pending.confirmed("r3", "a", "draining"), [])
+        # What was confirmed before the server's next call says nothing of those voters now.
+        messages, done = self.pending.begin("u", self.record, self.voters, 0.9)
         self.assertEqual((len(messages), done), (4, False))
 
+    def test_a_confirmation_speaks_for_the_calls_that_wait_and_no_later_one(self):
+        voters = ["r1", "r2", "r3"]
+        self.pending.begin("t", self.record, voters, 0.0)
+        self.pending.begin("u", self.record, voters, 0.1)
+        self.assertEqual(sorted(self.pending.confirmed("r2", "a", "draining")), ["t", "u"])
+        # r2 loses its disk here, or is cut off: that it held the record once is no majority.
+        self.assertFalse(self.pending.begin("v", self.record, voters, 1.3)[1])
+
     def test_out_of_touch_is_refused_at_once(self):
         for voters, reachable in ((self.voters, ["r2"]), (self.voters, ["r1", "r2"]), ([], ["r2"])):
             with self.assertRaises(quorum.QuorumError):
