A registry is in touch while a majority answers it, not while it hears one

Cause: a peer that was heard counted as reached. A registry whose messages were lost called itself in touch as long as links lasted; one that had stood still did so at once when it went on, as its own pause was taken off the others' silence, and told a desk that had just started that its old configuration and servers were new. Signs of life say to desks that a registry is in touch only once it knows as many slots as those near. The test of majorities told of peers that answer nothing; they answer now.

--- a/folio/membership/detector.py
+++ b/folio/membership/detector.py
@@ -4,6 +4,11 @@
 logarithm of the chance that a peer which is well lets us wait this long: 1 stands for one false alarm in
 ten, 3 for one in a thousand.  On top come bounds that hold whatever the statistics say, and a tolerance for
 single signs that are lost on the way.
+
+To hear a peer is half of a contact: it may not hear us, and the other way round.  So a peer is near, and
+counts for a majority, only while it has answered something that we sent within the last ``PROOF`` seconds.
+That moment is when we sent it, by our own clock, and no pause of our own moves it: one that stood still is
+out of touch until it has been answered anew.
 """
 
 import math
@@ -15,6 +20,7 @@
 PHI_SUSPECT = 2.0
 PHI_DEAD = 8.0
 PHI_MOST = 300.0  # where the chance is no longer a number above 0
+PROOF = 2.0  # seconds for which an answered message shows that both ways are open, from when it was sent
 
 
 class Detector:
@@ -65,6 +71,7 @@
         known.last = max(known.last, now)
         if trip is not None:
             known.trip = trip if known.trip is None else known.trip + (trip - known.trip) * 0.25
+            known.proof = max(known.proof, now - trip)
 
     def tick(self, now: float) -> float:
         """To be called at least each ``every``. Returns how long we ourselves were held up, in seconds.
@@ -122,22 +129,33 @@
         return "alive" if known.ever else "suspect"
 
     def near(self, now: float, peers: Iterable[str]) -> set[str]:
-        """Those of ``peers`` that are not dead and have been heard at all."""
-        return {p for p in peers if self.state(p, now) != "dead" and self._peers[p].ever}
+        """Those of ``peers`` that are not dead, and with which both ways have been open lately."""
+        return {p for p in peers
+                if (known := self._peers.get(p)) is not None and now - known.proof <= PROOF
+                and self.state(p, now) != "dead"}
 
     def in_touch(self, now: float, voters: Iterable[str], me: str = "") -> bool:
-        """Whether more than half of ``voters`` (``me`` among them, if it is one) can be reached."""
+        """Whether more than half of ``voters`` (``me`` among them, if it is one) are near."""
         everyone = set(voters)
         reached = len(self.near(now, everyone - {me})) + (me in everyone)
         return bool(everyone) and reached > len(everyone) // 2
 
+    def proven(self, now: float, voters: Iterable[str], me: str = "") -> float:
+        """When the newest messages were sent that a majority of ``voters`` has answered; -inf if never."""
+        everyone = set(voters)
+        times = sorted([self._peers[p].proof for p in everyone - {me} if p in self._peers]
+                       + [now] * (me in everyone))
+        need = len(everyone) // 2 + 1
+        return times[-need] if everyone and len(times) >= need else -math.inf
+
 
 class _Peer:
-    __slots__ = ("last", "gaps", "trip", "ever", "spread")
+    __slots__ = ("last", "gaps", "trip", "proof", "ever", "spread")
 
     def __init__(self, now: float):
         self.last = now
         self.gaps: deque[float] = deque(maxlen=SAMPLES)
         self.trip: float | None = None
+        self.proof = -math.inf  # when the newest message was sent that it has answered
         self.ever = False
         self.spread: tuple[float, float] | None = None
--- a/folio/registry/daemon.py
+++ b/folio/registry/daemon.py
@@ -249,7 +249,7 @@
         voters = set(self.peers.voters())
         self.node.learners = [addr for addr in self.peers.dialers if addr not in voters]
         live = self.peers.near(now)
-        self.desks.borrowers.look(now, 2 * len((live | {self.peers.me}) & voters) > len(voters))
+        self.desks.borrowers.look(now, self.peers.in_touch(now))
         self.loans.tick(now, live, voters)
         self.reports.tick(now)
         if now >= due["ping"]:
--- a/folio/registry/desks.py
+++ b/folio/registry/desks.py
@@ -72,7 +72,7 @@
         # Servers first: a large configuration takes a while to come, and some of them may have left.
         session.slot = message.slot
         self._catch_up(session)
-        link.send(m.Pulse(self.roll.count(now), self.node.last, self.peers.in_touch(now)))
+        link.send(m.Pulse(self.roll.count(now), self.node.last, self.peers.current(now)))
         logs.say("session_opened", desk=message.desk, slot=message.slot, whole=whole)
 
     def ended(self, link: Link, now: float) -> bool:
@@ -190,7 +190,7 @@
     def pulse(self, now: float) -> None:
         """A sign of life to each."""
         # One for all sessions: to count the members goes through all of them.
-        self.tell(m.Pulse(self.roll.count(now), self.node.last, self.peers.in_touch(now)))
+        self.tell(m.Pulse(self.roll.count(now), self.node.last, self.peers.current(now)))
 
     def tell(self, message: m.Message) -> None:
         """Send to each desk that has a session here."""
--- a/folio/registry/peers.py
+++ b/folio/registry/peers.py
@@ -40,6 +40,8 @@
         self._lives: dict[str, str] = {}
         self._echoes: dict[str, float] = {}     # what was sent with the newest ping of each
         self._told: dict[str, int] = {}     # counter of our sessions up to which each was told
+        self._lasts: dict[str, int] = {}    # the newest slot that each knew when it was last heard
+        self._began = clock.monotonic()
 
     # Who there is
 
@@ -72,14 +74,16 @@
         link.peer = hello.addr
         if self._lives.get(hello.addr) != hello.life:
             self._lives[hello.addr] = hello.life
+            self._echoes.pop(hello.addr, None)      # it was no message of this life
             logs.say("registry_met", addr=hello.addr)
         self.know(hello.addr)
         self._alive(hello.addr, clock.monotonic())
 
     def pinged(self, addr: str, ping: m.Ping, now: float) -> None:
         """Take a sign of life, and whom its sender knows."""
-        self._echoes[addr] = ping.sent
-        self.detector.heard(addr, now, now - ping.echo if ping.echo else None)
+        self._echoes[addr], self._lasts[addr] = ping.sent, ping.last
+        # What an earlier process of ours sent is no proof of a contact with this one.
+        self.detector.heard(addr, now, now - ping.echo if self._began <= ping.echo <= now else None)
         self._alive(addr, now)
         for other in ping.registries:
             self.know(other)
@@ -93,12 +97,21 @@
         return [voter.addr for voter in self.node.voters]
 
     def near(self, now: float, among: Iterable[str] | None = None) -> set[str]:
-        """Those that are not dead and have been heard at all; of all that are known, or `among` these."""
+        """Those with which both ways are open; of all that are known, or `among` these."""
         return self.detector.near(now, self.dialers if among is None else among)
 
     def in_touch(self, now: float) -> bool:
-        """Whether a majority of the voters can be reached, this registry included."""
-        return self.detector.in_touch(now, set(self.voters()), self.me)
+        """Whether a majority of the voters, itself included, has answered it in the last detector.PROOF s."""
+        return self.detector.in_touch(now, self.voters(), self.me)
+
+    def current(self, now: float) -> bool:
+        """Whether it is in touch, and none of those near knows a newer configuration."""
+        near = self.near(now)
+        return self.in_touch(now) and all(self._lasts.get(addr, 0) <= self.node.last for addr in near)
+
+    def age(self, now: float) -> float:
+        """Seconds since a majority of the voters was last in touch for certain; at most since the start."""
+        return now - max(self._began, self.detector.proven(now, self.voters(), self.me))
 
     def forget(self, now: float, needed: Iterable[str]) -> None:
         """Give up links to those that have long been silent, unless they are `needed`."""
@@ -106,6 +119,7 @@
             if now - at > FORGET and addr not in needed:
                 del self._heard_at[addr]
                 self.detector.forget(addr)
+                self._lasts.pop(addr, None)
                 if (dialer := self.dialers.pop(addr, None)) is not None:
                     dialer.close()
 
--- a/tests/folio/test_sessions.py
+++ b/tests/folio/test_sessions.py
@@ -5,6 +5,7 @@
 expected: ``?members DESK=REGISTRY ...``, ``?count N``.
 """
 
+import math
 import random
 import unittest
 
@@ -255,7 +256,7 @@
         detector = Detector()
         for n in range(20):
             for peer in ("r2", "r3"):
-                detector.heard(peer, n * 0.25)
+                detector.heard(peer, n * 0.25, trip=0.01)
         detector.watch("r4", 4.75)
         self.assertTrue(detector.in_touch(5.0, ["r1", "r2", "r3", "r4", "r5"], "r1"))
         self.assertFalse(detector.in_touch(5.0, ["r2", "r3", "r4", "r5"], "r1"))
@@ -263,6 +264,32 @@
         self.assertTrue(detector.in_touch(9.0, ["r1"], "r1"))
         self.assertFalse(detector.in_touch(5.0, [], "r1"))
 
+    def test_who_is_heard_and_answers_nothing_is_not_near(self):
+        detector = Detector()
+        for n in range(41):     # r2 hears us until 5.0, r3 never does
+            detector.heard("r2", n * 0.25, trip=0.01 if n <= 20 else None)
+            detector.heard("r3", n * 0.25)
+            detector.tick(n * 0.25)
+        self.assertEqual([detector.state(peer, 10.0) for peer in ("r2", "r3")], ["alive", "alive"])
+        self.assertEqual(detector.near(6.9, ["r2", "r3"]), {"r2"})
+        self.assertEqual(detector.near(7.1, ["r2", "r3"]), set())
+        self.assertAlmostEqual(detector.proven(10.0, ["r1", "r2", "r3"], "r1"), 4.99)
+        self.assertEqual(detector.proven(10.0, ["r1", "r2", "r3", "r4"], "r1"), -math.inf)
+        self.assertEqual(detector.proven(10.0, ["r1"], "r1"), 10.0)
+
+    def test_one_that_stood_still_is_out_of_touch_until_it_is_answered_anew(self):
+        detector = Detector()
+        for n in range(40):
+            detector.heard("r2", n * 0.25, trip=0.01)
+            detector.tick(n * 0.25)
+        detector.tick(29.75)
+        self.assertNotEqual(detector.state("r2", 29.75), "dead")
+        self.assertFalse(detector.in_touch(29.75, ["r1", "r2"], "r1"))
+        detector.heard("r2", 29.76, trip=20.01)     # the answer to a question of before
+        self.assertFalse(detector.in_touch(29.76, ["r1", "r2"], "r1"))
+        detector.heard("r2", 29.80, trip=0.02)
+        self.assertTrue(detector.in_touch(29.80, ["r1", "r2"], "r1"))
+
 
 if __name__ == "__main__":
     unittest.main()
