A registry that is out of touch takes a beat in and says 503, so that the server tells another one too

Cause: it answered 200. The server stayed with it for as long as the cut lasted, the other registries heard nothing of it, called it silent after 2.6 beats, and would have forgotten it after 30 s, though it was well. Refusals without a majority told no time to return either. Change: 503 with Retry-After, which servers answer by the next registry; the beat is taken in all the same. All 503 of calls that waited carry Retry-After, in whole seconds as RFC 9110 asks.

--- a/folio/registry/reports.py
+++ b/folio/registry/reports.py
@@ -10,7 +10,7 @@
 from folio.registry.desks import Desks
 from folio.registry.peers import Peers
 from folio.registry.retirements import Retirements
-from folio.registry.slips import Slips, refusal
+from folio.registry.slips import Slips, refusal, unavailable
 from folio.transport import messages as m
 from folio.transport.http import Call
 from folio.vault.store import Note
@@ -34,14 +34,20 @@
     # The calls of servers
 
     def beat(self, call: Call, ident: str, beat: Beat, now: float) -> None:
-        """Take a report. One of a server that leaves is acknowledged once a majority has it."""
+        """Take a report. One of a server that leaves is acknowledged once a majority has it.
+
+        Out of touch, none is acknowledged, though it is taken in: the server is to tell a registry that
+        others hear, before they take it for silent.
+        """
         record, changed = self.register.beat(ident, beat, now)
         if changed:
             self._news(record, now)
-        if record.phase == "up":
+        if record.phase != "up":
+            self._leaving(call, record, now)
+        elif self.peers.in_touch(now):
             call.reply(200, b"{}")
         else:
-            self._leaving(call, record, now)
+            unavailable(call, "in touch with no majority of the voters")
 
     def leave(self, call: Call, ident: str, now: float) -> None:
         """A server has gone."""
--- a/folio/registry/slips.py
+++ b/folio/registry/slips.py
@@ -6,6 +6,9 @@
 
 from folio.transport.http import Call
 
+# Whole seconds, as RFC 9110 has it (10.2.3). Another registry may serve the call at once.
+RETRY = (("Retry-After", "1"),)
+
 
 class Slips:
     """The calls that wait, by ticket.
@@ -37,9 +40,14 @@
         return self._waiting.pop(ticket, None)
 
     def reply(self, ticket: object, status: int, body: bytes) -> None:
-        """Answer the call of this ticket, unless that has been done."""
+        """Answer the call of this ticket, unless that has been done; with 503 comes when to return."""
         if (call := self._waiting.pop(ticket, None)) is not None:
-            call.reply(status, body)
+            call.reply(status, body, fields=RETRY if status == 503 else ())
+
+
+def unavailable(call: Call, text: str) -> None:
+    """Answer 503: this registry can't serve the call now, though another one may at once."""
+    call.reply(503, refusal(text), fields=RETRY)
 
 
 def refusal(text: str) -> bytes:
