What a registry shows for operators' eyes says how old it may be

Cause: GET of history, servers, members, duties and retiring answered the same in touch and twenty seconds out of it. Change: the header Age (RFC 9111) with the whole seconds since a majority of the voters was in touch; status has it as age_s. readyz stays 200: if all registries are out of touch, nobody would take beats or tell operators why.

--- a/folio/registry/counter.py
+++ b/folio/registry/counter.py
@@ -84,36 +84,40 @@
         """The servers that leave, and who is still busy with them."""
         self.retirements.call_look(call, ident, now)
 
-    # What is known here
+    # What is known here: it is served in touch or not, and says how old it may be
+
+    def _tell(self, call: Call, what: object, now: float) -> None:
+        call.reply(200, msgspec.json.encode(what), fields=self.peers.dated(now))
 
     def call_history(self, call: Call, _: str, now: float) -> None:
         """The changes remembered."""
-        call.reply(200, msgspec.json.encode(self.machine.history()))
+        self._tell(call, self.machine.history(), now)
 
     def call_servers(self, call: Call, _: str, now: float) -> None:
         """All servers in the register."""
-        call.reply(200, msgspec.json.encode([msgspec.structs.asdict(r) for r in self.register.records(now)]))
+        self._tell(call, [msgspec.structs.asdict(r) for r in self.register.records(now)], now)
 
     def call_members(self, call: Call, _: str, now: float) -> None:
         """Desks by the registry they have a session with, registries by their state, and who votes."""
         states = {addr: self.peers.detector.state(addr, now) for addr in self.peers.dialers}
         told = {"desks": self.roll.members(now), "registries": states | {self.peers.me: "self"},
                 "voters": self.peers.voters()}
-        call.reply(200, msgspec.json.encode(told))
+        self._tell(call, told, now)
 
     def call_duties(self, call: Call, _: str, now: float) -> None:
         """Who holds which duty."""
-        call.reply(200, msgspec.json.encode({key: self.duties.holder_of(key, now) for key in KEYS}))
+        self._tell(call, {key: self.duties.holder_of(key, now) for key in KEYS}, now)
 
     def call_status(self, call: Call, _: str, now: float) -> None:
         """How this registry fares."""
-        call.reply(200, msgspec.json.encode({
+        self._tell(call, {
             "addr": self.peers.me, "ver": version_text(self.machine.config.ver), "slot": self.node.last,
-            "in_touch": self.peers.in_touch(now), "voters": self.peers.voters(),
+            "in_touch": self.peers.in_touch(now), "age_s": round(self.peers.age(now), 3),
+            "voters": self.peers.voters(),
             "voting": self.node.voting,
             "voter": self.node.me in self.node.voters, "desks": self.roll.count(now),
             "servers": len(self.register.snapshot(now)), "silent": self.desks.quiet,
-            "disk_late_s": self.archive.stuck(), "unreadable": Link.unreadable}))
+            "disk_late_s": self.archive.stuck(), "unreadable": Link.unreadable}, now)
 
     def call_metrics(self, call: Call, _: str, now: float) -> None:
         """The figures, for Prometheus."""
@@ -121,5 +125,8 @@
         scrape.answer(call, self.loop, families.of_registry(self, now))
 
     def call_readyz(self, call: Call, _: str, now: float) -> None:
-        """Whether calls should come here."""
+        """Whether calls should come here.
+
+        Also while it is out of touch: if all are, nobody would take beats or tell operators why.
+        """
         call.reply(503 if self.closing else 200)
--- a/folio/registry/peers.py
+++ b/folio/registry/peers.py
@@ -104,6 +104,11 @@
         """Whether a majority of the voters, itself included, has answered it in the last detector.PROOF s."""
         return self.detector.in_touch(now, self.voters(), self.me)
 
+    def in_touch_since(self, since: float, now: float) -> bool:
+        """Whether a majority of the voters has answered what was sent after `since`."""
+        # The detector reckons back by round trips, which rounds.
+        return self.detector.proven(now, self.voters(), self.me) > since - 1e-6
+
     def current(self, now: float) -> bool:
         """Whether it is in touch, and none of those near knows a newer configuration."""
         near = self.near(now)
@@ -113,6 +118,15 @@
         """Seconds since a majority of the voters was last in touch for certain; at most since the start."""
         return now - max(self._began, self.detector.proven(now, self.voters(), self.me))
 
+    def reached(self, addrs: Iterable[str]) -> bool:
+        """Whether these and this registry are a majority of the voters."""
+        voters = set(self.voters())
+        return 2 * len(voters.intersection((*addrs, self.me))) > len(voters)
+
+    def dated(self, now: float) -> tuple[tuple[str, str], ...]:
+        """The header of an answer that tells what is known here: its Age (RFC 9111, 5.1) in whole s."""
+        return (("Age", str(int(self.age(now)))),)
+
     def forget(self, now: float, needed: Iterable[str]) -> None:
         """Give up links to those that have long been silent, unless they are `needed`."""
         for addr, at in list(self._heard_at.items()):
