A retirement is refused, and a server called safe, only with a majority in touch since the call

Cause: 404 (no such server), 409 (too little room) and safe rested on what the failure detector said of the time before the call: in the first seconds of a cut a registry refused an order for a server it had not heard of. Change: such a refusal waits, 0.7 s at most, for a majority to answer what is sent after the call came, and is judged anew then; safe asks that a majority has answered this very look.

--- a/folio/registry/retirements.py
+++ b/folio/registry/retirements.py
@@ -15,12 +15,13 @@
 from folio.registry.desks import Desks, Session
 from folio.registry.disk import Archive
 from folio.registry.peers import Peers
-from folio.registry.slips import Slips, refusal
+from folio.registry.slips import Slips, refusal, unavailable
 from folio.transport import messages as m
 from folio.transport.http import Call
 from folio.vault.store import Note
 
 NOTE = "retired/"   # what a record is kept under until the whole register is next written
+DOUBT = 0.05        # s between two looks whether an order may be refused
 LOOK, LOOK_NEAR = 0.6, 0.35     # s that all desks have to say what they have under way; those of one registry
 
 
@@ -88,12 +89,24 @@
         if not fields.keys() & {"id", "ver", "az"}:
             return call.reply(400, refusal("id, ver or az: one of them is needed"))
         if not self.peers.in_touch(now):
-            return call.reply(503, refusal("in touch with no majority of the voters"))
+            return unavailable(call, "in touch with no majority of the voters")
+        self._judge(call, order, fields, now, now)
+
+    def _judge(self, call: Call, order: Order, fields: dict[str, str], begun: float, now: float) -> None:
+        """Carry an order out, or refuse it; that only with a majority in touch since the call came."""
         found = self.register.matching(**fields)
+        room = self.register.room(found, not order.undo, self.desks.quiet)
+        short = [] if order.undo or order.force else tight(room)
+        if (not found or short) and not self.peers.in_touch_since(begun, now):
+            if now == begun:
+                self.peers.ping(now)
+            if now - begun >= quorum.WAIT:
+                return unavailable(call, "no majority has answered in time")
+            self.loop.call_later(DOUBT, lambda: self._judge(call, order, fields, begun, clock.monotonic()))
+            return
         if not found:
             return call.reply(404, refusal("no server that is known fits"))
-        room = self.register.room(found, not order.undo, self.desks.quiet)
-        if (short := tight(room)) and not order.undo and not order.force:
+        if short:
             logs.say("retire_refused", found=len(found), short=",".join(short))
             text = ", ".join(f"{svc} would keep {share:.0%} of its slots"
                              for svc, share in shares(room).items() if svc in short)
@@ -188,7 +201,8 @@
         def done(look: Look) -> None:
             self.slips.take(number)
             look.registry(self.peers.me, {}, self._away(), {})
-            self._show(call, look, look.told(leaving, self.peers.in_touch(clock.monotonic()), clock.time()))
+            # Those that answered are in touch: what the detector says may be of before the call.
+            self._show(call, look, look.told(leaving, self.peers.reached(near - look.silent), clock.time()))
 
         self._look(number, Look(self.desks.sessions, near, members), LOOK, done)
         watch = m.Watch(number, [record for record, _ in leaving])
@@ -200,7 +214,8 @@
         silent = self.peers.dialers.keys() - self.peers.near(now)
         call.reply(200, msgspec.json.encode({
             "in_touch": self.peers.in_touch(now), "silent": sorted(silent | look.silent),
-            "away": {desk: round(span, 1) for desk, span in look.missing().items()}, "servers": rows}))
+            "away": {desk: round(span, 1) for desk, span in look.missing().items()}, "servers": rows}),
+            fields=self.peers.dated(now))
 
     def watch(self, addr: str, watch: m.Watch, now: float) -> None:
         """Another registry asks for our desks; they hear of what it knows first."""
