A registry that was away calls no server silent until it has listened for as long as silence lasts

Cause: after a cut or a stand-still all servers had last been heard before it, so the first look called all of them silent, and the desks kept from them until their beats had come round. Change: servers are added to those that are silent only once the registry has been in touch for as long. Measured: unit test, in which a registry cut off for 13 s names a server silent that beats elsewhere.

--- a/folio/registry/desks.py
+++ b/folio/registry/desks.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from math import inf
+
 from folio import logs
 from folio.accession.register import Register
 from folio.catalogue.structs import version_text
@@ -50,6 +52,8 @@
         self._kept = kept       # those of them that are on disk
         self._noted: bool | None = None     # whether the disk says that these are all
         self.quiet: list[str] = []      # servers of which nothing has been heard for a while
+        self._met = False       # whether this registry has been in touch
+        self._touched = -inf    # since when it is again, after it was not; inf while it is not
         self.shunned: list[str] = []
         self.ills = Ills()
 
@@ -158,10 +162,21 @@
             session.place = place
 
     def mind_servers(self, now: float, after: float) -> None:
-        """Tell the desks which servers are gone or have been silent for `after` s, when that changes."""
+        """Tell the desks which servers are gone or have been silent for `after` s, when that changes.
+
+        Servers that were not silent before are so only once this registry has been in touch for as long:
+        until then it is the registry that has not heard them, while they told others.
+        """
         if self.register.expire(now):
             self.tell_news(now)
         quiet = self.register.silent(now, after)
+        if self.peers.in_touch(now):
+            self._met = True
+            self._touched = now if self._touched == inf else self._touched
+        elif self._met:
+            self._touched = inf
+        if now - self._touched < after:
+            quiet = [ident for ident in quiet if ident in self.quiet]
         if quiet != self.quiet:
             self.quiet = quiet
             self.tell(m.Quiet(quiet))
