A desk whose zone's registries all keep silent tries the others

Cause: a registry that had failed could be tried again after 0.4 to 1 s, and one of the own zone came before all others, so that two in the zone that stood still, or whose machines were gone, were tried in turns for as long as that lasted. Change: those tried in vain least come first, of them the ones of the own zone; a registry in touch ends the count.

--- a/folio/circulation/follower.py
+++ b/folio/circulation/follower.py
@@ -45,6 +45,7 @@
         self.register, self.place = "", 0
         self.memory = Memory()
         self.known: dict[str, float] = {}   # registries, by when they may be tried again
+        self.failed: dict[str, int] = {}    # how often each was tried in vain since one was last in touch
         self.holdings: dict[str, Holdings] = {}
         self.on_lease: Callable[[], None] = lambda: None    # what was missing is lent
         self.on_shun: Callable[[list[str]], None] = lambda ids: None
@@ -97,15 +98,24 @@
 
     def _leave(self, why: str, again: float = 1.0) -> None:
         logs.say("session_left", registry=self.at, why=why)
-        self.known[self.at] = clock.monotonic() + again
+        self._in_vain(self.at, again)
         link, self.link = self.link, None
         link.close()
 
+    def _in_vain(self, addr: str, again: float) -> None:
+        self.known[addr] = clock.monotonic() + again
+        self.failed[addr] = self.failed.get(addr, 0) + 1
+
     def _pick(self, now: float) -> str | None:
-        """A registry to try: of our zone first, as news and reports between zones cost."""
+        """A registry to try: those tried in vain least; of them one of our zone, as bytes between zones cost.
+
+        Two of our zone that don't answer would else be tried in turns for ever.
+        """
         able = [addr for addr, at in self.known.items() if at <= now]
         if not able:
             return None
+        least = min(self.failed.get(addr, 0) for addr in able)
+        able = [addr for addr in able if self.failed.get(addr, 0) == least]
         zone = self.boot.ip.rsplit(".", 2)[0]
         near = [addr for addr in able if addr.startswith(zone + ".")]
         return self.rng.choice(near or able)
@@ -129,14 +139,14 @@
                              self.place))
             self._send_report(clock.monotonic())    # others may wait for it, to be lent what is not ours
         except (OSError, TimeoutError):
-            self.known[addr] = clock.monotonic() + 0.4
+            self._in_vain(addr, 0.4)
         finally:
             self.dialling = False
 
     def _ended(self, link: Link) -> None:
         if self.link is link:
             self.link = None
-            self.known[self.at] = clock.monotonic() + 0.3
+            self._in_vain(self.at, 0.3)
             if not self.stopping:
                 logs.say("session_lost", registry=self.at)
 
@@ -150,6 +160,7 @@
             self.members, self.told_slot = message.members, message.slot
             if message.in_touch:
                 self.alone_since = None
+                self.failed.clear()
                 self.fresh = self.fresh or (self.slot >= message.slot and self.have_servers)
             elif self.alone_since is None:
                 self.alone_since = now
--- /dev/null
+++ b/tests/folio/test_check_cutoff.py
@@ -0,0 +1,107 @@
+"""Registries that are cut off: what they still say, where desks go, and the model check that plays them."""
+
+import json
+import unittest
+from random import Random
+from unittest import mock
+
+from folio import clock
+from folio.boot import Bind, Boot
+from folio.circulation.follower import Follower
+from folio.stacks.guise import worn
+from folio.stacks.network import Trouble
+from folio.transport import messages as m
+from tests.folio import test_registry
+from tests.folio.test_registry import CTL, IPS, beat
+
+
+class Apart(unittest.TestCase):
+    """Three registries and a desk; r1 is cut off from the other two, or hears them only."""
+
+    def setUp(self):
+        self.system = system = test_registry.System(1)
+        self.enterContext(worn(system.world, lambda event, **fields: None))
+        system.world.run(3.0)
+        self.call("r2", "PUT", "/-/backends/i-1", beat("i-1", "up", 1))
+
+    def call(self, name, method, path, body=b"", span=0.9):
+        self.system.call(name, method, path, body)
+        self.system.world.run(self.system.world.now + span)
+        return self.system.answers[name]
+
+    def part(self, way="both"):
+        others = frozenset(ip for name, ip in IPS.items() if name in CTL and name != "r1")
+        self.system.network.troubles.append(Trouble(frozenset([IPS["r1"]]), others, cut=True, way=way))
+
+    def test_nothing_is_confirmed_or_refused_and_what_is_shown_tells_its_age(self):
+        for way in ("out", "in", "both"):
+            with self.subTest(way=way):
+                self.part(way)
+                cut_at = self.system.world.now
+                for method, path, body in (
+                        ("GET", "/-/config", b""), ("DELETE", "/-/backends/i-9", b""),
+                        ("PUT", "/-/backends/i-1", beat("i-1", "draining", 2)),
+                        ("POST", "/-/retire", b'{"id": "never-heard-of"}'),
+                        ("POST", "/-/retire", b'{"id": "i-1"}')):
+                    answer = self.call("r1", method, path, body)
+                    self.assertEqual(answer.status, 503, path)
+                    self.assertIn(b"retry-after", answer.headers, path)
+                for path in ("history", "servers", "members", "duties", "status", "retiring"):
+                    since, answer = self.system.world.now - cut_at, self.call("r1", "GET", f"/-/{path}")
+                    self.assertEqual(answer.status, 200)
+                    self.assertTrue(since - 1.0 <= int(answer.headers[b"age"]) <= since + 1.0, path)
+                    self.assertEqual(self.call("r2", "GET", f"/-/{path}").headers[b"age"], b"0")
+                self.assertFalse(json.loads(self.call("r1", "GET", "/-/status").body)["in_touch"])
+                self.system.heal()
+                self.system.world.run(self.system.world.now + 5.0)
+
+    def test_a_refusal_waits_for_a_majority_in_touch_since_the_call(self):
+        self.assertEqual(self.call("r1", "POST", "/-/retire", b'{"id": "never-heard-of"}').status, 404)
+        self.assertEqual(self.call("r1", "POST", "/-/retire", b'{"id": "i-1"}').status, 409)
+        self.part()     # its detector has yet to notice
+        self.assertEqual(self.call("r1", "POST", "/-/retire", b'{"id": "never-heard-of"}').status, 503)
+
+    def test_a_server_beats_elsewhere_before_it_is_taken_for_silent(self):
+        def said():
+            return self.call("r1", "PUT", "/-/backends/i-1", beat("i-1", "up", 9)).status
+
+        self.assertEqual(said(), 200)
+        self.part()
+        self.system.world.run(self.system.world.now + 2.1)
+        self.assertEqual(said(), 503)
+        self.system.heal()
+        self.system.world.run(self.system.world.now + 4.0)
+        self.assertEqual(said(), 200)
+
+    def test_who_was_away_calls_no_server_silent_until_it_has_listened_for_as_long(self):
+        quiet = []
+        r1 = self.system.registries["r1"]
+        r1.desks.tell = lambda message: quiet.append(message.ids) if isinstance(message, m.Quiet) else None
+        self.part()
+        for seq in range(10, 34):
+            self.call("r2", "PUT", "/-/backends/i-1", beat("i-1", "up", seq))
+            if seq == 25:
+                self.system.heal()
+        self.assertEqual(quiet, [])
+        self.system.world.run(self.system.world.now + 5.0)
+        self.assertEqual(quiet, [["i-1"]])      # it has really fallen silent
+
+
+class WhereTo(unittest.TestCase):
+    def test_two_registries_of_the_own_zone_that_answer_nothing_are_not_tried_in_turns_for_ever(self):
+        boot = Boot("edge-1", "10.1.0.9", "z", (7660, 7675),
+                    ["10.1.0.1:8407", "10.1.0.2:8407", "10.2.0.1:8407"], Bind())
+        follower = Follower(mock.Mock(), boot, Random(1), None, None, None, dict)
+        now, tried = 0.0, []
+        with mock.patch.object(clock, "monotonic", lambda: now):
+            while len(tried) < 6:
+                if (addr := follower._pick(now)) is not None:
+                    tried.append(addr.partition(":")[0])
+                    now += 1.1
+                    follower._in_vain(addr, 1.0)
+                now += 0.1
+            self.assertEqual(sorted(tried[:2]), ["10.1.0.1", "10.1.0.2"])
+            self.assertEqual(tried[2], "10.2.0.1")
+            link = follower.link = mock.Mock(buffer=bytearray())
+            follower._heard(link, m.Pulse(3, 0, True))
+            self.assertTrue(follower._pick(now + 9.0).startswith("10.1."))
