Scale run: real registries and desks beside hollow ones, measured from outside

Cause: what control costs at 510 ingresses was reckoned from messages filled for eight tenants a desk; nothing showed what the processes themselves do at that size.

--- a/folio/reference/dispatch.py
+++ b/folio/reference/dispatch.py
@@ -32,6 +32,16 @@
     return scale(args)
 
 
+def _scale_run(args):
+    from folio.reference.scale_run import scale_run
+    return scale_run(args)
+
+
+def _capacity(args):
+    from folio.reference.capacity import capacity
+    return capacity(args)
+
+
 def _model_check(args):
     from folio.reference.model_check import model_check
     return model_check(args)
@@ -58,6 +68,8 @@
     "restore": lambda args: _custody().restore(args),
     "model-check": _model_check,
     "scale": _scale,
+    "scale-run": _scale_run,
+    "capacity": _capacity,
     "detection": _detection,
     "emulate": lambda args: _emulation().emulate(args),
     "experiment": lambda args: _emulation().experiment(args),
--- a/folio/reference/scale.py
+++ b/folio/reference/scale.py
@@ -28,6 +28,7 @@
 FEW = 8         # tenants that a desk is asked by at a time: those of its clients
 SHARE = 123_456         # a share as large as most
 ZONES = 3       # over which registries are spread; desks have their session within their own
+DEFAULT_DESKS = "96"
 ROUTES = 24     # of the configuration, over as many services as there are for 2 routes each
 
 
@@ -115,7 +116,7 @@
     from folio.reference.errors import BAD_INPUT
     figures: dict[str, float] = {}
     for option in ("desks", "servers", "tenants", "registries", "beat"):
-        text = args[f"--{option}"]
+        text = args[f"--{option}"] or DEFAULT_DESKS
         try:
             figures[option] = float(text) if option == "beat" else int(text)
         except ValueError:
--- a/folio/reference/usage.py
+++ b/folio/reference/usage.py
@@ -25,6 +25,8 @@
   folio demo [DIR] [--seconds=S] [--json]
   folio demo DIR --files
   folio scale --curve [--plot=DIR] [--beat=S] [--json]
+  folio scale-run FILE [--desks=LIST] [--out=DIR] [--json]
+  folio capacity [--records=DIR] [--page=FILE] [--plot=DIR] [--json]
   folio scale [--desks=N] [--servers=N] [--tenants=N] [--registries=N] [--beat=S] [--json]
   folio detection [--runs=N] [--json]
   folio emulate DAY [--seed=N] [--set=LIST] [--log=FILE] [--json]
@@ -40,7 +42,9 @@
   --at=LIST       Control addresses to call, as 10.1.0.5:8407,10.2.0.3:8407. Left out, the seeds of the
                   settings file that CROWSEAM_BOOT names are called.
   --within=S      Seconds after which a call is given up [default: 15].
-  --out=FILE      Write to this file, not to standard output.
+  --out=FILE      Write to this file, not to standard output; a scale run keeps its records in a directory.
+  --records=DIR   Where the records of scale runs are kept [default: docs/capacity].
+  --page=FILE     Write the tables into this page, between its markers, in place of printing them.
   --no-check      Send the file without checking it here first.
   --as-patch=VER  Print the PATCH body that leads to NEW, under this version (eight hex digits).
   --server=ID     The server with this id.
@@ -62,7 +66,7 @@
   --files         Only write the files of the demonstration, and print the commands that start it.
   --seed=N        What the run's chances are drawn from [default: 1].
   --set=LIST      Constants of the code in this run, as folio.circulation.clerk:HEDGE=5,...
-  --desks=N       Ingresses that carry traffic [default: 96].
+  --desks=N       Ingresses that carry traffic; 96 unless said.  Of a scale run: its sizes, as 50,100,200.
   --servers=N     Servers of all services [default: 264].
   --tenants=N     Tenants with a quota [default: 88].
   --registries=N  Registries [default: 6].
