Lender: of thousands of tenants only the largest are lent to desks that aren't asked, also under a new giver

A registry that did so for 50 desks lost its duties, and each new giver began so again: no lease was ever given.

--- a/folio/lending/slices.py
+++ b/folio/lending/slices.py
@@ -18,6 +18,7 @@
 """
 
 from collections.abc import Callable, Iterable
+from heapq import nlargest
 
 import msgspec
 
@@ -25,6 +26,8 @@
 EXTRA_PART, EXTRA_MOST = 0.6, 4.0   # of what the rule leaves above the quota, cut evenly: requests that each
                         # bucket may hold beyond its slice of the burst; and no more than this
 FLOOR_PART = 0.25       # of the same, cut evenly: what fills the buckets without a lease in a window
+WIDE_MOST = 256         # tenants of which every desk is lent something, those with the highest rates: what a
+                        # desk is asked of the others, it is lent after its first word of them
 STRAYS = 3.0            # standard deviations left for chance, where a bucket is too small for a request
 
 
@@ -120,8 +123,8 @@
         # Tenants of which a desk gets something that is not asked for them: of thousands, few.
         self._wide: set[str] = set()
         self._listed: tuple[Iterable[str], frozenset[str]] = ((), frozenset())
-        self._wide_for: tuple[int, bool] | None = None
-        self._parts: dict[str, tuple[float, float]] = {}    # the rate, and the part to be lent, by tenant
+        self._wide_for = 0      # the number of desks that this is so for
+        self._parts: dict[str, tuple[float, float]] = {}    # the rate, and the part not lent, by tenant
         self._next_sweep = now
         self._epoch = 0  # one count for all desks: one forgotten that returns must not get old ones
 
@@ -221,22 +224,22 @@
         for tenant, rate in known.asks.items():
             asked[tenant] -= rate
         for tenant, rate in asks.items():
-            if tenant not in asked and self._wide_for is not None and self._is_wide(tenant, *self._wide_for):
+            if (tenant not in asked and self._wide_for and len(self._wide) < WIDE_MOST
+                    and self._is_wide(tenant, self._wide_for)):
                 self._wide.add(tenant)
             asked[tenant] = asked.get(tenant, 0.0) + rate
         known.asks = dict(asks)
 
-    def _is_wide(self, tenant: str, desks: int, sealed: bool) -> bool:
+    def _is_wide(self, tenant: str, desks: int) -> bool:
         """Whether the even slice of a tenant is worth lending to a desk that is not asked for it."""
-        rate, lent = self._part(tenant, desks, sealed)
-        return not 0.0 < lent * rate / desks < self.terms.least
+        rate, kept = self._part(tenant, desks)
+        return not 0.0 < (1.0 - kept) * rate / desks < self.terms.least
 
-    def _part(self, tenant: str, desks: int, sealed: bool) -> tuple[float, float]:
-        """The tenant's rate, and the part of it that is to be lent."""
+    def _part(self, tenant: str, desks: int) -> tuple[float, float]:
+        """The tenant's rate, and the part of it that is not to be lent once nothing is sealed."""
         part = self._parts.get(tenant)
         if part is None:
-            part = self._parts[tenant] = (
-                self.rates(tenant), 1.0 - (self.terms.reserve if sealed else self._kept(tenant, desks)))
+            part = self._parts[tenant] = (self.rates(tenant), self._kept(tenant, desks))
         return part
 
     def _to_all(self, desks: int) -> set[str]:
@@ -245,12 +248,14 @@
         To go through all tenants with each report cost 5 ms of the processor for 4,250 of them.
         """
         listed = self.tenants()
-        if listed is not self._listed[0] or self._wide_for != (desks, self._sealed):
+        if listed is not self._listed[0] or self._wide_for != desks:
             self._listed = (listed, frozenset(listed))
-            self._wide_for = (desks, self._sealed)
+            self._wide_for = desks
             self._parts = {}
-            self._wide = {tenant for tenant in self._asked.keys() | self._listed[1]
-                          if self._is_wide(tenant, desks, self._sealed)}
+            wide = [tenant for tenant in self._asked.keys() | self._listed[1] if self._is_wide(tenant, desks)]
+            if len(wide) > WIDE_MOST:
+                wide = nlargest(WIDE_MOST, wide, key=lambda tenant: (self._parts[tenant][0], tenant))
+            self._wide = set(wide)
         return self._wide
 
     def _rebound(self, known: Borrower, now: float) -> None:
@@ -310,10 +315,11 @@
             want = 1.0 / desks
             if total > 1e-6:
                 want = scale * known.asks.get(tenant, 0.0) / total + terms.even / desks
-            rate, lent = self._part(tenant, desks, self._sealed)
+            rate, kept = self._part(tenant, desks)
+            lent = 1.0 - (terms.reserve if self._sealed else kept)
             whole = int(PARTS * lent)
             share = int(want * lent * PARTS)
-            if not known.asks.get(tenant) and 0.0 < want * lent * rate < terms.least:
+            if not known.asks.get(tenant) and 0.0 < want * (1.0 - kept) * rate < terms.least:
                 share = 0   # no request would pass by it in seconds; it does more in the reserve
             if keep:
                 share = max(share, current.get(tenant, 0))
--- a/tests/folio/test_slices.py
+++ b/tests/folio/test_slices.py
@@ -4,7 +4,7 @@
 import unittest
 from random import Random
 
-from folio.lending.slices import PARTS, Held, Holdings, Known, Lender, LendingTerms, floor_rate
+from folio.lending.slices import PARTS, WIDE_MOST, Held, Holdings, Known, Lender, LendingTerms, floor_rate
 
 TENANTS = ("large", "small")
 
@@ -328,6 +328,16 @@
         lenders[0].report("d3", {"t5": 1.0}, holdings[0]["d3"].to_report(60.0), 60.0)
         self.assertLess(len(looked), 5)
 
+    def test_of_thousands_of_tenants_only_the_largest_are_lent_to_all_also_while_sealed(self):
+        names = [f"t{n}" for n in range(2000)]
+        for known in (set(), {"d2"}):
+            lender = Lender(2, known, 3, 0.0, LendingTerms(reserve=0.35, least=0.05),
+                            lambda tenant: float(tenant[1:]) + 10.0, lambda: names)
+            lease = lender.report("d1", {"t7": 1.0}, Held(1, 0.0, 2, 0, 0.0, {}), 0.1)
+            self.assertLessEqual(len(lease.shares), WIDE_MOST + 1)
+            if not known:
+                self.assertEqual(set(lease.shares), {"t7", *names[-WIDE_MOST:]})
+
     def test_a_raise_waits_until_the_lowering_is_confirmed(self):
         lender, one, two = Lender(1, set(), 2, 0.0), Holdings(1), Holdings(1)
         for holdings, desk in ((one, "one"), (two, "two")):
