The runner of the tests no longer hides the folder of the tests

Cause: a script named tests.py puts itself in place of the folder tests, so none of the system's tests were found; its own tests had a tests/__init__.py that the tree has not. Change: run_tests.py; the trees of its tests are laid out as this one.

--- a/tests/folio/test_known_red.py
+++ b/tests/folio/test_known_red.py
@@ -7,7 +7,7 @@
 import unittest
 from pathlib import Path
 
-PATH = Path(__file__).resolve().parents[2] / ".ci/tests.py"
+PATH = Path(__file__).resolve().parents[2] / ".ci/run_tests.py"
 spec = importlib.util.spec_from_file_location("ci_tests", PATH)
 ci = importlib.util.module_from_spec(spec)
 spec.loader.exec_module(ci)
@@ -46,8 +46,7 @@
         with tempfile.TemporaryDirectory() as folder:
             root = Path(folder)
             (root / "tests/folio").mkdir(parents=True)
-            for place in ("tests", "tests/folio"):
-                (root / place / "__init__.py").write_text("")
+            (root / "tests/folio/__init__.py").write_text("")     # and none in tests, as here
             (root / "tests/folio/test_one.py").write_text(
                 "import unittest\nclass T(unittest.TestCase):\n"
                 f"    def test_x(self): self.assertTrue({passes})\n")
@@ -55,8 +54,8 @@
             if listed:
                 (root / "KNOWN-RED.txt").write_text(listed)
             (root / ".ci").mkdir()
-            (root / ".ci/tests.py").write_text(PATH.read_text())
-            done = subprocess.run([sys.executable, ".ci/tests.py"], cwd=root, capture_output=True, text=True)
+            (root / ".ci/run_tests.py").write_text(PATH.read_text())
+            done = subprocess.run([sys.executable, ".ci/run_tests.py"], cwd=root, capture_output=True, text=True)
             return done.returncode, done.stdout
 
     def test_a_listed_one_may_fail_and_has_to(self):
