--- a/tests/folio/test_known_red.py
+++ b/tests/folio/test_known_red.py
@@ -55,7 +55,8 @@
                 (root / "KNOWN-RED.txt").write_text(listed)
             (root / ".ci").mkdir()
             (root / ".ci/run_tests.py").write_text(PATH.read_text())
-            done = subprocess.run([sys.executable, ".ci/run_tests.py"], cwd=root, capture_output=True, text=True)
+            done = subprocess.run([sys.executable, ".ci/run_tests.py"], cwd=root, capture_output=True,
+                                  text=True)
             return done.returncode, done.stdout
 
     def test_a_listed_one_may_fail_and_has_to(self):
