Emulator: cuts that go one way, and registries that flap

Change: a cut has a way; what arrives while the way back is cut is not acknowledged, so that TCP_USER_TIMEOUT ends the connection, and none comes up. Faults cut_out, cut_in and flap.

--- a/folio/stacks/faults.py
+++ b/folio/stacks/faults.py
@@ -137,13 +137,40 @@
 
 def cut(cell: Cell, fault: Fault) -> None:
     """Machines see no other for `span`, or with `to` (a pattern) none of those; with each other they do."""
+    _cut(cell, fault, "both")
+
+
+def cut_out(cell: Cell, fault: Fault) -> None:
+    """As `cut`, one way: what the machines send is lost, and they hear all others."""
+    _cut(cell, fault, "out")
+
+
+def cut_in(cell: Cell, fault: Fault) -> None:
+    """As `cut`, one way: the machines hear nothing, and all others hear them."""
+    _cut(cell, fault, "in")
+
+
+def _cut(cell: Cell, fault: Fault, way: str) -> None:
     hit = _machines(cell, fault)
+    _trouble(cell, hit, fault.span)
+    _harm(cell, fault.span, _between(cell, hit, fault, way))
+
+
+def _between(cell: Cell, hit: list[Machine], fault: Fault, way: str = "both") -> Trouble:
     other = None
     if fault.to:
         other = frozenset(m.ip for m in cell.machines
                           if any(fnmatchcase(text, fault.to) for text in (m.name, m.zone)))
+    return Trouble(frozenset(m.ip for m in hit), other, cut=True, way=way)
+
+
+def flap(cell: Cell, fault: Fault) -> None:
+    """As `cut`, by turns of `amount` s each, cut and whole, for `span`."""
+    hit = _machines(cell, fault)
     _trouble(cell, hit, fault.span)
-    _harm(cell, fault.span, Trouble(frozenset(m.ip for m in hit), other, cut=True))
+    trouble = _between(cell, hit, fault)
+    for turn in range(max(1, int(fault.span / (2.0 * fault.amount)))):
+        cell.later(2.0 * turn * fault.amount, _harm, cell, fault.amount, trouble)
 
 
 def link(cell: Cell, fault: Fault) -> None:
@@ -353,7 +380,7 @@
 
 KINDS: dict[str, Callable[[Cell, Fault], None]] = {
     one.__name__: one for one in (
-        kill, stop, power, wipe, freeze, slow, clock, cut, link, disk_hang, disk_slow, disk_full,
-        server_crash, server_dark, server_flap, server_grey, server_slow, lost_answers, garble, retire,
-        release, load, lose_zone, config_shift, config_race, config_split, config_grow,
-        orders_lost, revoke, quota)}
+        kill, stop, power, wipe, freeze, slow, clock, cut, cut_out, cut_in, flap, link, disk_hang, disk_slow,
+        disk_full, server_crash, server_dark, server_flap, server_grey, server_slow, lost_answers, garble,
+        retire, release, load, lose_zone, config_shift, config_race, config_split, config_grow, orders_lost,
+        revoke, quota)}
--- a/folio/stacks/network.py
+++ b/folio/stacks/network.py
@@ -85,6 +85,7 @@
         self.last_arrival = 0.0     # of what this end sent
         self.held: list[tuple[str, bytes]] = []     # what a cut keeps from going out
         self.held_since = 0.0
+        self.doubted_since: float | None = None     # what was sent then arrived, and its receipt is cut off
         process.transports[self] = None
 
     # What protocols call
@@ -247,11 +248,15 @@
 
 @dataclass
 class Trouble:
-    """One harm to links: between `one` and `other` (addresses; None: all others)."""
+    """One harm to links: between `one` and `other` (addresses; None: all others).
+
+    `way` of a cut: "both"; "out", only what `one` sends is lost; "in", only what it is sent.
+    """
 
     one: frozenset[str]
     other: frozenset[str] | None = None
     cut: bool = False
+    way: str = "both"
     delay: float = 0.0      # s on top, one way
     loss: float = 0.0       # chance that a packet has to be sent again
 
@@ -262,6 +267,12 @@
             return a in self.one or b in self.one
         return (a in self.one and b in self.other) or (b in self.one and a in self.other)
 
+    def blocks(self, a: str, b: str) -> bool:
+        """Whether what `a` sends to `b` is lost."""
+        if not (self.cut and self.touches(a, b)):
+            return False
+        return self.way == "both" or (a in self.one) == (self.way == "out")
+
 
 class Network:
     """All machines' links."""
@@ -273,6 +284,7 @@
         self.off: set[str] = set()      # machines without power
         self.troubles: list[Trouble] = []
         self.waiting: dict[Transport, None] = {}
+        self.doubted: dict[Transport, None] = {}
         self.bytes_between = 0
         self.opened = 0
         self.last_port = 20000
@@ -283,9 +295,14 @@
         return process
 
     def blocked(self, a: str, b: str) -> bool:
+        """Whether packets from `a` to `b` are lost. Cuts may go one way only."""
         if self.off and (a in self.off or b in self.off):
             return True
-        return any(t.cut and t.touches(a, b) for t in self.troubles)
+        return any(t.blocks(a, b) for t in self.troubles)
+
+    def parted(self, a: str, b: str) -> bool:
+        """Whether packets are lost one way or the other: no connection comes up between the two."""
+        return self.blocked(a, b) or self.blocked(b, a)
 
     def lag(self, a: str, b: str) -> float:
         """How long a packet takes, in s."""
@@ -314,7 +331,7 @@
         world = self.world
         if made.done() or not process.alive:
             return
-        if self.blocked(process.ip, host):
+        if self.parted(process.ip, host):
             world.at(world.now + pause, process, self.dial, (process, factory, host, port, made, 2 * pause))
             return
         there = self.lag(process.ip, host)
@@ -323,7 +340,7 @@
     def _knock(self, process: Process, factory: Callable, host: str, port: int, made: asyncio.Future,
                pause: float) -> None:
         world = self.world
-        if self.blocked(process.ip, host):
+        if self.parted(process.ip, host):
             world.at(world.now + pause, process, self.dial, (process, factory, host, port, made, 2 * pause))
             return
         listener = self.listeners.get((host, port))
@@ -358,8 +375,24 @@
         a, b = sender.process.ip, peer.process.ip
         if sender.held or ((self.off or self.troubles) and self.blocked(a, b)):
             return self._hold(sender, kind, data)
+        if self.troubles and kind == "data" and self.blocked(b, a):
+            self._unacknowledged(sender)
         self._deliver(sender, kind, data, 0.0)
 
+    def _unacknowledged(self, sender: Transport) -> None:
+        """What is sent arrives, and nothing that comes back says so: the sender gives up in its time."""
+        if sender.doubted_since is None:
+            sender.doubted_since = self.world.now
+            self.doubted[sender] = None
+            if sender.user_timeout is not None:
+                self.world.at(self.world.now + sender.user_timeout, self.world.outside, self._doubt_over,
+                              (sender, self.world.now))
+
+    def _doubt_over(self, sender: Transport, since: float) -> None:
+        if sender.doubted_since == since and not sender.lost:
+            self.doubted.pop(sender, None)
+            sender._lose(TimeoutError(errno.ETIMEDOUT, "not acknowledged in time"))
+
     def _hold(self, sender: Transport, kind: str, data: bytes) -> None:
         if not sender.held:
             sender.held_since = self.world.now
@@ -397,6 +430,10 @@
     def look(self) -> None:
         """Links have changed: what waited goes on where it can."""
         world = self.world
+        for sender in list(self.doubted):
+            if sender.lost or not self.blocked(sender.peer.process.ip, sender.process.ip):
+                del self.doubted[sender]
+                sender.doubted_since = None
         for sender in list(self.waiting):
             if self.blocked(sender.process.ip, sender.peer.process.ip):
                 continue
--- a/tests/folio/test_stacks.py
+++ b/tests/folio/test_stacks.py
@@ -4,7 +4,8 @@
 ``send TEXT``, ``patience S`` (what is not acknowledged for so long is given up), ``close``; and what it has
 by now: ``?TEXT`` (all that came), ``?open``, ``?end``, ``?lost`` (it ended in an error), and of the dialling
 ``?up``, ``?dialling`` or ``?refused``.  The link is ``cut``, or it ``heals``; ``kill`` ends the process on
-the right, ``off`` takes its power, ``on`` gives it back.
+the right, ``off`` takes its power, ``on`` gives it back.  ``deaf`` and ``mute`` cut one way only: what the
+right end is sent is lost, or what it sends.
 """
 
 import asyncio
@@ -86,8 +87,9 @@
             end.transport.user_timeout = float(rest[0])
         elif verb == "close":
             end.transport.close()
-        elif verb in ("cut", "heals"):
-            (self.network.troubles.append if verb == "cut" else self.network.troubles.remove)(self.cut)
+        elif verb in ("cut", "deaf", "mute", "heals"):
+            self.cut.way = {"deaf": "in", "mute": "out"}.get(verb, "both")
+            (self.network.troubles.remove if verb == "heals" else self.network.troubles.append)(self.cut)
             self.network.look()
         elif verb == "kill":
             self.network.ended(self.right)
@@ -154,6 +156,34 @@
             4.00 |                    | ?       |
         """)
 
+    def test_a_cut_one_way_lets_the_other_through_until_nobody_acknowledges_it(self):
+        Links(self, """
+            time | left               | right            | link
+            0.00 | dial               | listen           |
+            0.10 | patience 1.5       | patience 1.5     | mute
+            0.20 | send a             | send x           |
+            0.30 | ?                  | ?a               |
+            1.60 | ?open              | ?open            |
+            1.80 | ?lost              | ?lost            |
+        """)
+        Links(self, """
+            time | left               | right            | link
+            0.00 | dial               | listen           |
+            0.10 | patience 1.5       |                  | deaf
+            0.20 | send a             | send x           |
+            0.30 | ?x                 | ?                |
+            1.00 |                    |                  | heals
+            3.00 | ?open              | ?a               |
+        """)
+        for way in ("deaf", "mute"):
+            Links(self, f"""
+                time | left       | right   | link
+                0.00 |            | listen  | {way}
+                0.10 | dial       |         |
+                1.50 | ?dialling  |         | heals
+                4.00 | ?up        |         |
+            """)
+
     def test_a_connection_opened_into_a_cut_comes_up_after_it(self):
         Links(self, """
             time | left       | right   | link
