Test: a registry that is cut off takes a beat in and answers 503

Cause: a timeline asked for 200 to a beat 1.3 s after the cut, which was the fault: the server stays where nobody hears it. It asks for 503 now, and, as before, for the server to be known after the cut.

--- a/tests/folio/test_registry.py
+++ b/tests/folio/test_registry.py
@@ -269,7 +269,7 @@
             4.1  |        |               |                | delete i-2          |
             4.2  |        |               |                | ?503                |
             4.3  |        |               |                | beat i-3 up 1       |
-            4.4  |        | beat i-1 draining 3 |          | ?200                |
+            4.4  |        | beat i-1 draining 3 |          | ?503                |
             4.6  |        | ?200          |                |                     | ?usable i-2
             6    | heal   |               |                |                     |
             9    |        |               |                |                     | ?usable i-3
