The proof that a majority is in touch lasts 1.5 s

Cause: with 2 s a server that beats each second was called silent by others, as silence counts from 2.6 beats, before the registry that was cut off sent it elsewhere. Change: 1.5 s, as long as a link waits for an acknowledgement.

--- a/folio/membership/detector.py
+++ b/folio/membership/detector.py
@@ -20,7 +20,7 @@
 PHI_SUSPECT = 2.0
 PHI_DEAD = 8.0
 PHI_MOST = 300.0  # where the chance is no longer a number above 0
-PROOF = 2.0  # seconds for which an answered message shows that both ways are open, from when it was sent
+PROOF = 1.5  # seconds for which an answered message shows that both ways are open, from when it was sent
 
 
 class Detector:
