Lending: where a lease names many tenants, shares that go down call for a report 0.4 s after the last, not each time

Change: Holdings ask for no second prompt report within 0.4 s for shares that went down, where a lease names 64 tenants or more; a new giver is still answered at once. Of a duty 64 tenants are lent to all, not 256.

--- a/folio/lending/slices.py
+++ b/folio/lending/slices.py
@@ -26,8 +26,11 @@
 EXTRA_PART, EXTRA_MOST = 0.6, 4.0   # of what the rule leaves above the quota, cut evenly: requests that each
                         # bucket may hold beyond its slice of the burst; and no more than this
 FLOOR_PART = 0.25       # of the same, cut evenly: what fills the buckets without a lease in a window
-WIDE_MOST = 256         # tenants of which every desk is lent something, those with the highest rates: what a
+WIDE_MOST = 64          # tenants of which every desk is lent something, those with the highest rates: what a
                         # desk is asked of the others, it is lent after its first word of them
+MANY = 64               # tenants of a lease from which on some share goes down with nearly each lease
+PROMPT_GAP, PROMPT_PAUSE = 0.3, 0.4     # s after a report within which another one was a prompt one; between
+                        # two of these because of shares that went down, where there are many
 STRAYS = 3.0            # standard deviations left for chance, where a bucket is too small for a request
 
 
@@ -420,13 +423,16 @@
         self._until = float("-inf")
         self._shares: dict[str, int] = {}
         self._news: set[str] = set()    # tenants whose share, or its end, nobody has asked for since
+        self._reported = self._prompted = float("-inf")
         self._over = True   # whether they were told that the lease is over
 
     def take(self, lease: Lease, now: float) -> bool:
         """Takes a lease unless it is late or of an earlier giver.
 
         Returns True if a share went down by a fiftieth of the quota or more, or the giver is new: others
-        wait for that to be confirmed, so the next report is best sent at once.
+        wait for that to be confirmed, so the next report is best sent at once.  Not again, for shares, within
+        PROMPT_PAUSE where a lease names many tenants: each then lowers one of them, and four leases answer
+        each report.
         """
         if lease.life != self.life or lease.fence < self.fence:
             return False
@@ -441,7 +447,7 @@
             self._until = lease.sent + lease.term
             self._news |= self._shares.keys() | lease.shares.keys()
             self._shares, self._over = lease.shares, False
-        return news or lowered
+        return news or lowered and (len(lease.shares) < MANY or now - self._prompted >= PROMPT_PAUSE)
 
     def share(self, tenant: str, now: float) -> float | None:
         """The share of the tenant's quota this desk may use (0 to 1), or None without a lease."""
@@ -465,6 +471,9 @@
     def to_report(self, now: float) -> Held:
         """What to tell the giver; to be sent at once, and each report later than the one before."""
         left = self.left(now)
+        if now - self._reported < PROMPT_GAP:
+            self._prompted = now
+        self._reported = now
         return Held(self.life, now, self.fence, self._epoch, left, self._shares if left else {})
 
 
--- a/tests/folio/test_slices.py
+++ b/tests/folio/test_slices.py
@@ -4,7 +4,18 @@
 import unittest
 from random import Random
 
-from folio.lending.slices import PARTS, WIDE_MOST, Held, Holdings, Known, Lender, LendingTerms, floor_rate
+from folio.lending.slices import (
+    MANY,
+    PARTS,
+    WIDE_MOST,
+    Held,
+    Holdings,
+    Known,
+    Lease,
+    Lender,
+    LendingTerms,
+    floor_rate,
+)
 
 TENANTS = ("large", "small")
 
@@ -338,6 +349,32 @@
             if not known:
                 self.assertEqual(set(lease.shares), {"t7", *names[-WIDE_MOST:]})
 
+    def test_leases_that_keep_lowering_shares_do_not_call_for_ever_more_reports(self):
+        held, more = [Holdings(1) for _ in range(4)], {f"t{n}": 1 for n in range(MANY)}
+        for each in held:
+            each.take(Lease(1, 0.0, 1, 1, 8.0, {"t": PARTS} | more), 0.0)
+        reports = calm = 0
+        due = [0.5]     # each report is answered by a lease of each duty, and each lowers a share
+        epoch = 1
+        while due and due[0] < 10.0 and reports < 1000:
+            now = due.pop(0)
+            reports += 1
+            calm += now % 0.5 == 0.0
+            for each in held:
+                each.to_report(now)
+            if now % 0.5 == 0.0:
+                due.append(now + 0.5)
+            epoch += 1
+            for place, each in enumerate(held):
+                at = now + 0.01 * (place + 1)
+                shares = {"t": PARTS - epoch % 2 * PARTS // 2} | more
+                if each.take(Lease(1, now, 1, epoch, 8.0, shares), at):
+                    due.append(at)
+            due.sort()
+        self.assertEqual(calm, 19)
+        self.assertLessEqual(reports, 3 * calm)
+        self.assertGreater(reports, calm)   # the first is sent at once
+
     def test_a_raise_waits_until_the_lowering_is_confirmed(self):
         lender, one, two = Lender(1, set(), 2, 0.0), Holdings(1), Holdings(1)
         for holdings, desk in ((one, "one"), (two, "two")):
