--- a/tests/folio/test_consensus.py
+++ b/tests/folio/test_consensus.py
@@ -9,12 +9,13 @@
 from hypothesis import strategies as st
 
 from folio.consensus import messages as wire
-from folio.consensus.check import Disk, Ledger, Order, World, explore, run
+from folio.consensus.check import Disk, Ledger, Order, World, run
 from folio.consensus.errors import ConsensusError
 from folio.consensus.messages import Ballot, Change, Voter, Voters, decode, encode
 from folio.consensus.node import Node, Timing
 from folio.consensus.records import Fresh, Learned, Persist, Saved, Send, Taken, Unclear
 from folio.consensus.voters import propose, settle
+from folio.consensus.walk import explore
 
 OUTCOMES = {"taken": Taken, "fresh": Fresh, "unclear": Unclear, "stale": "stale", "same": "same"}
 
