What is acknowledged of a server that leaves is on the disks of a majority, each by its voter's id

Cause: a voter confirmed `draining` and `gone` from memory, and our own copy counted at once; the register is written each second. After a loss of power of all, servers acknowledged as leaving were usable again. A confirmation counted by address, for what may be another disk by then, and for the voters at its start.

Change: a voter confirms what says that a server leaves once it is on its disk, our own copy no sooner. `Held` names the voter's id, `Hold` the newest slot that the asker knows: a voter that knows a later change of the voters does not confirm, and what waits counts by the voters in force. Both fields are appended, versions before are understood. The node of the log tells `voters_since` and `changing`, and heeds `ready`.

Two tests of acknowledgements went by our own copy counting from memory; they now ask for its confirmation too, which is stricter.

--- a/folio/accession/quorum.py
+++ b/folio/accession/quorum.py
@@ -1,15 +1,18 @@
 """An acknowledgement that a server is leaving goes out only when a majority of the voters knows of it.
 
 Whichever machine then reads the register through a majority finds the server draining, gone or retired,
-although any minority of those that knew may be lost in the same moment.  What a server says of itself it
-says again with each beat; what the operator says is said once, so a voter has it on its disk before it
-confirms it, and our own copy counts no sooner.
+although any minority of those that knew may be lost in the same moment, or all of them lose power: a voter
+has it on its disk before it confirms it, and our own copy counts no sooner.
+
+A confirmation is that of a voter's id, which goes with its disk: what stands at the same address with
+another disk has confirmed nothing.  Whoever asks names the newest slot of the log that it knows, and a voter
+that knows of a later change of the voters does not confirm, as the majority may be another one by now.
 
 A confirmation counts for the calls that wait when it comes, and for no later one: by then its voter may be
 cut off from us, or have lost what it held.
 """
 
-from collections.abc import Hashable, Iterable
+from collections.abc import Hashable, Iterable, Mapping
 
 import msgspec
 
@@ -24,26 +27,45 @@
 
 
 class Hold(msgspec.Struct, frozen=True, array_like=True, tag="hold"):
-    """Asks a voter to merge a record and to say so."""
+    """Asks a voter to merge a record and to say so.
+
+    `slot` is the newest slot of the log that the asker knows; -1: not told, by a version before.
+    """
 
     record: Record
+    slot: int = -1
 
 
 class Held(msgspec.Struct, frozen=True, array_like=True, tag="held"):
-    """A voter's answer to Hold: what it now has of this server, the operator's epoch included."""
+    """A voter's answer to Hold: what it now has of this server, the operator's epoch included.
+
+    `by` is the voter's id; "": not told, by a version before.
+    """
 
     id: str
     phase: Phase
     retired: int = 0
+    by: str = ""
+
+
+def leaving(record: Record) -> bool:
+    """Whether this says of a server what nobody may unlearn: it drains, is gone, or an operator spoke."""
+    return record.phase != "up" or record.retired > 0
 
 
-def answer(hold: Hold, register: Register, now: float) -> Held:
-    """Carry out a voter's part: merge the record into ``register`` and name what is held."""
+def answer(hold: Hold, register: Register, now: float, by: str = "", since: int = -1) -> Held | None:
+    """Carry out a voter's part: merge the record into ``register`` and name what is held.
+
+    `by` is our id, `since` a slot after which the voters have not changed.  None: the record is merged, but
+    the asker may not know the voters, so it is not to be confirmed.
+    """
     register.join(hold.record, now)
+    if 0 <= hold.slot < since:
+        return None
     record = register.get(hold.record.id, now)
     # A tombstone too old to be taken in is as good as held: nobody remembers the server as alive.
     held = hold.record if record is None else record
-    return Held(held.id, held.phase, held.retired)
+    return Held(held.id, held.phase, held.retired, by)
 
 
 def majority(count: int) -> int:
@@ -54,31 +76,46 @@
 class _Ticket:
     __slots__ = ("ticket", "record", "voters", "begun", "sent", "holders")
 
-    def __init__(self, ticket: Hashable, record: Record, voters: frozenset[str], now: float):
+    def __init__(self, ticket: Hashable, record: Record, voters: dict[str, str], now: float):
         self.ticket = ticket
         self.record = record
         self.voters = voters
         self.begun = now
         self.sent = now
-        self.holders: set[str] = set()  # those of the voters that have it
+        self.holders: dict[str, str] = {}  # those that have it, with the ids that they told
+
+    def counted(self) -> set[str]:
+        """The voters that have it."""
+        return {addr for addr, by in self.holders.items() if addr in self.voters
+                and self.same(self.voters[addr], by)}
+
+    @staticmethod
+    def same(ident: str, by: str) -> bool:
+        """Whether what `by` has confirmed counts for the voter `ident`."""
+        return not ident or not by or ident == by
 
     @property
     def held(self) -> bool:
-        return len(self.holders) >= majority(len(self.voters))
+        return len(self.counted()) >= majority(len(self.voters))
 
-    def messages(self) -> list[tuple[str, Hold]]:
+    def messages(self, slot: int) -> list[tuple[str, Hold]]:
         """What asks those that have not confirmed it."""
-        hold = Hold(self.record)
-        return [(voter, hold) for voter in sorted(self.voters - self.holders)]
+        hold = Hold(self.record, slot)
+        return [(voter, hold) for voter in sorted(self.voters.keys() - self.counted())]
 
 
 class Pending:
-    """Acknowledgements that wait for a majority of the voters. ``me`` is our own address."""
+    """Acknowledgements that wait for a majority of the voters.
+
+    ``me`` is our own address.  Voters are given by address, with their ids where these are known ("": any id
+    will do).
+    """
 
     def __init__(self, me: str):
         self.me = me
         self._waiting: dict[Hashable, _Ticket] = {}
         self._tickets: dict[str, set[Hashable]] = {}  # those that wait, by id
+        self._slot = -1
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -87,40 +124,46 @@
         self,
         ticket: Hashable,
         record: Record,
-        voters: Iterable[str],
+        voters: Iterable[str] | Mapping[str, str],
         now: float,
         reachable: Iterable[str] | None = None,
-    ) -> tuple[list[tuple[str, Hold]], bool]:
+    ) -> list[tuple[str, Hold]]:
         """Start waiting for a majority to hold ``record``, which our own register holds already.
 
-        Returns the messages to send as (address, Hold), and whether that is done already (we are the only
-        voter), in which case ``ticket`` is not kept.  A record with an epoch of the operator's goes to
-        ourselves too, as it has to be on our disk.  Raises QuorumError when no voters are known, or when
-        those ``reachable`` (None: not known) and ourselves are no majority.
+        Returns the messages to send as (address, Hold).  They go to ourselves too, as it has to be on our
+        disk.  Raises QuorumError when no voters are known, or when those ``reachable`` (None: not known) and
+        ourselves are no majority.
         """
-        everyone = frozenset(voters)
+        everyone = _ids(voters)
         if not everyone:
             raise QuorumError("no voters are known")
         if reachable is not None:
-            near = len(everyone.intersection((*reachable, self.me)))
+            near = len(everyone.keys() & {*reachable, self.me})
             if near < majority(len(everyone)):
                 raise QuorumError(f"in touch with {near} of {len(everyone)} voters")
-        entry = _Ticket(ticket, record, everyone, now)
-        if not record.retired and self.me in everyone:
-            entry.holders.add(self.me)
-        if entry.held:
-            return [], True
-        self._waiting[ticket] = entry
+        entry = self._waiting[ticket] = _Ticket(ticket, record, everyone, now)
         self._tickets.setdefault(record.id, set()).add(ticket)
-        return entry.messages(), False
+        return entry.messages(self._slot)
 
-    def confirmed(self, voter: str, ident: str, phase: str, retired: int = 0) -> list[Hashable]:
-        """A voter says what it holds of a server. Returns the tickets that may now be acknowledged."""
+    def seat(self, voters: Iterable[str] | Mapping[str, str], slot: int) -> None:
+        """The voters as they are known here with the newest slot known, for all that waits and is to come.
+
+        To be told before each message is handed in, where the voters can change.
+        """
+        self._slot, everyone = slot, _ids(voters)
+        for entry in self._waiting.values():
+            entry.voters = everyone
+
+    def confirmed(self, voter: str, ident: str, phase: str, retired: int = 0, by: str = "") -> list[Hashable]:
+        """A voter says what it holds of a server. Returns the tickets that may now be acknowledged.
+
+        `by` is the id that it votes under; "": not told, by a version before.
+        """
         done = []
         for entry in [self._waiting[ticket] for ticket in self._tickets.get(ident, ())]:
             record = entry.record
-            if voter in entry.voters and PHASES[phase] >= PHASES[record.phase] and retired >= record.retired:
-                entry.holders.add(voter)
+            if PHASES[phase] >= PHASES[record.phase] and retired >= record.retired:
+                entry.holders[voter] = by
                 if entry.held:
                     done.append(entry.ticket)
         for ticket in done:
@@ -133,7 +176,7 @@
         for entry in self._waiting.values():
             if now - entry.sent >= AGAIN:
                 entry.sent = now
-                messages += entry.messages()
+                messages += entry.messages(self._slot)
         return messages
 
     def expired(self, now: float) -> list[Hashable]:
@@ -150,3 +193,7 @@
             tickets.discard(ticket)
             if not tickets:
                 del self._tickets[entry.record.id]
+
+
+def _ids(voters: Iterable[str] | Mapping[str, str]) -> dict[str, str]:
+    return dict(voters) if isinstance(voters, Mapping) else dict.fromkeys(voters, "")
--- a/folio/accession/register.py
+++ b/folio/accession/register.py
@@ -240,6 +240,9 @@
     def __len__(self) -> int:
         return len(self._held)
 
+    def __contains__(self, ident: str) -> bool:
+        return ident in self._held
+
     @property
     def place(self) -> tuple[str, int]:
         """(life, number) of the latest change."""
--- a/folio/consensus/node.py
+++ b/folio/consensus/node.py
@@ -174,8 +174,10 @@
         self.survive = survive
         self.contacts = list(contacts)
         self.learners: list[str] = []
+        self.ready = True   # False: not to be let in among the voters yet; set by the owner
         self.last = 0
         self.voters: list[Voter] = []
+        self.voters_since = 0   # no later change of the voters than at this slot is known here
         self.next_tick = 0.0
         self.failures = 0
         self._rng = rng
@@ -211,7 +213,7 @@
         saved = durable.saved
         if saved is not None:
             self.machine.give(saved.state)
-            self.last = self._saved_at = saved.slot
+            self.last = self._saved_at = self.voters_since = saved.slot
             self._first = saved.slot + 1
             self.voters = list(saved.voters)
             # Entries before the saved state only serve those who are a little behind.
@@ -294,6 +296,12 @@
         self._advance(out)
         return self._done(out)
 
+    @property
+    def changing(self) -> bool:
+        """Whether this voter has accepted other voters for the next slot, and knows not what came of it."""
+        vote = self._orphan()
+        return vote is not None and isinstance(vote.entry, Voters)
+
     # Time
 
     def _set_clock(self, now: float) -> None:
@@ -580,6 +588,7 @@
         self.machine.apply(slot, entry)
         if isinstance(entry, Voters):
             self.voters = list(entry.voters)
+            self.voters_since = slot
 
     def _learn(self, entries: list[Entry], out: list[Effect]) -> None:
         """Apply the entries that follow on what is known, and answer those who asked for them."""
@@ -682,7 +691,7 @@
         if self.voters and message.slot <= self.last:
             return
         self.machine.give(message.state)
-        self.last = self._saved_at = message.slot
+        self.last = self._saved_at = self.voters_since = message.slot
         self._first = message.slot + 1
         self._log, self._log_bytes = {}, 0
         self._blob = None
@@ -730,7 +739,7 @@
         still hear in its place.
         """
         if self.voting:
-            return None if self.me in self.voters else JoinRequest(self.me, self.last)
+            return None if self.me in self.voters or not self.ready else JoinRequest(self.me, self.last)
         return next((LeaveRequest(voter) for voter in self.voters if voter.addr == self.me.addr), None)
 
     def _ask_for_seat(self, out: list[Effect]) -> None:
--- a/folio/registry/peers.py
+++ b/folio/registry/peers.py
@@ -98,6 +98,10 @@
         """The addresses of those that vote, this registry's among them if it does."""
         return [voter.addr for voter in self.node.voters]
 
+    def voter_ids(self) -> dict[str, str]:
+        """The ids of those that vote, by address."""
+        return {voter.addr: voter.id for voter in self.node.voters}
+
     def near(self, now: float, among: Iterable[str] | None = None) -> set[str]:
         """Those with which both ways are open; of all that are known, or `among` these."""
         return self.detector.near(now, self.dialers if among is None else among)
--- a/folio/registry/reports.py
+++ b/folio/registry/reports.py
@@ -60,24 +60,21 @@
         self.desks.tell_news(now)
 
     def _leaving(self, call: Call, record: Record, now: float) -> None:
-        """Acknowledge once a majority of the voters has it: whoever is killed then, it reaches all."""
-        voters = self.peers.voters()
-        near = self.peers.near(now, set(voters) - {self.peers.me})
+        """Acknowledge once a majority of the voters has it on disk: whatever is lost then, it reaches all."""
+        voters = self.peers.voter_ids()
+        near = self.peers.near(now, voters.keys() - {self.peers.me})
         ticket = self.slips.keep(call)
         try:
-            out, done = self.pending.begin(ticket, record, voters, now, near)
+            self.peers.post_all(self.pending.begin(ticket, record, voters, now, near))
         except quorum.QuorumError as error:
-            return self.slips.reply(ticket, 503, refusal(str(error)))
-        self.peers.post_all(out)
-        if done:
-            self.slips.reply(ticket, 200, b"{}")
+            self.slips.reply(ticket, 503, refusal(str(error)))
 
     # What waits for a majority. A ticket is a number, or that of a retirement.
 
     def held(self, addr: str, held: quorum.Held, now: float) -> None:
         """A voter says what it has of a server."""
         self.retirements.held(held, now)
-        for ticket in self.pending.confirmed(addr, held.id, held.phase, held.retired):
+        for ticket in self.pending.confirmed(addr, held.id, held.phase, held.retired, held.by):
             if isinstance(ticket, tuple):
                 self.retirements.confirmed(ticket, now)
             else:
--- a/folio/registry/retirements.py
+++ b/folio/registry/retirements.py
@@ -9,7 +9,7 @@
 
 from folio import clock, logs
 from folio.accession import quorum
-from folio.accession.register import Record, Register, check_id
+from folio.accession.register import PHASES, Record, Register, check_id
 from folio.accession.retiring import Asked, Look, RacedError, shares, tight
 from folio.membership.sessions import Roll
 from folio.registry.desks import Desks, Session
@@ -50,6 +50,7 @@
         self.asked: dict[int, tuple[Asked, dict[str, float], float]] = {}   # calls: shares left, begun at
         self.looks: dict[int, tuple[Look, int, Callable[[Look], None]]] = {}    # the place desks must have
         self.noted: set[str] = set()    # notes on disk
+        self.kept: dict[str, tuple[int, int]] = {}  # id -> phase and epoch that are on disk
 
     # On disk
 
@@ -59,20 +60,50 @@
         return [msgspec.msgpack.decode(notes[key], type=Record) for key in sorted(self.noted)]
 
     def hold(self, addr: str, hold: quorum.Hold, now: float) -> None:
-        """Merge a record, and confirm it; with an operator's word in it, once it is on our disk."""
-        held = quorum.answer(hold, self.register, now)
+        """Merge a record, and confirm it; what nobody may unlearn, once it is on our disk."""
+        node = self.peers.node
+        held = quorum.answer(hold, self.register, now, node.me.id, node.voters_since)
         record = self.register.get(hold.record.id, now)
-        if record is None or not record.retired:
-            self.peers.post(addr, held)
-        else:
-            key = NOTE + record.id
-            self.noted.add(key)
-            self.archive.write([Note(key, msgspec.msgpack.encode(record))],
-                               lambda ok: self.peers.post(addr, held) if ok else None)
+        if held is not None:
+            if record is None or not quorum.leaving(record) or self._keeps(record):
+                self.peers.post(addr, held)
+            else:
+                self._keep(record, lambda: self.peers.post(addr, held))
         self.desks.tell_news(now)
 
+    def learn(self, records: list[Record], now: float) -> list[Note]:
+        """Take over what another voter holds of servers that leave: what is to be on disk of it."""
+        for record in records:
+            self.register.join(record, now)
+        self.desks.tell_news(now)
+        notes = []
+        for told in records:
+            record = self.register.get(told.id, now)
+            if record is not None and quorum.leaving(record) and not self._keeps(record):
+                self.noted.add(NOTE + record.id)
+                notes.append(Note(NOTE + record.id, msgspec.msgpack.encode(record)))
+        return notes
+
+    def _keeps(self, record: Record) -> bool:
+        """Whether our disk has as much of this server."""
+        phase, epoch = self.kept.get(record.id, (0, 0))
+        return phase >= PHASES[record.phase] and epoch >= record.retired
+
+    def _keep(self, record: Record, then: Callable[[], None]) -> None:
+        key = NOTE + record.id
+        self.noted.add(key)
+
+        def done(ok: bool) -> None:
+            if ok:
+                phase, epoch = self.kept.get(record.id, (0, 0))
+                self.kept[record.id] = max(phase, PHASES[record.phase]), max(epoch, record.retired)
+                then()
+
+        self.archive.write([Note(key, msgspec.msgpack.encode(record))], done)
+
     def dropped(self) -> list[Note]:
         """The notes that the register, written whole, stands for from now on."""
+        self.kept = {ident: kept for ident, kept in self.kept.items() if ident in self.register}
         notes = [Note(key, None) for key in self.noted]
         self.noted.clear()
         return notes
@@ -129,16 +160,13 @@
     def _hold(self, number: int, ident: str, now: float) -> None:
         if number not in self.asked:
             return
-        voters = self.peers.voters()
-        near = self.peers.near(now, set(voters) - {self.peers.me})
+        voters = self.peers.voter_ids()
+        near = self.peers.near(now, voters.keys() - {self.peers.me})
         record = self.register.get(ident, now) or Record(ident, phase="gone")
         try:
-            out, done = self.pending.begin((number, ident), record, voters, now, near)
+            self.peers.post_all(self.pending.begin((number, ident), record, voters, now, near))
         except quorum.QuorumError as error:
-            return self._end(number, 503, refusal(str(error)))
-        self.peers.post_all(out)
-        if done:
-            self.confirmed((number, ident), now)
+            self._end(number, 503, refusal(str(error)))
 
     def held(self, held: quorum.Held, now: float) -> None:
         """A voter may know of a later word of the operator's than we do."""
--- a/tests/folio/test_accession.py
+++ b/tests/folio/test_accession.py
@@ -359,8 +359,9 @@
         self.voters = ["r1", "r2", "r3", "r4", "r5"]
 
     def test_only_a_majority_acknowledges(self):
-        messages, done = self.pending.begin("t", self.record, self.voters, 0.0)
-        self.assertEqual(([to for to, _ in messages], done), (["r2", "r3", "r4", "r5"], False))
+        messages = self.pending.begin("t", self.record, self.voters, 0.0)
+        self.assertEqual([to for to, _ in messages], self.voters)
+        self.assertEqual(self.pending.confirmed("r1", "a", "draining"), [])
         self.assertEqual(self.pending.confirmed("r2", "a", "draining"), [])
         self.assertEqual(self.pending.confirmed("r2", "a", "draining"), [])
         self.assertEqual(self.pending.confirmed("r9", "a", "draining"), [])
@@ -371,27 +372,59 @@
 
     def test_without_a_majority_the_call_is_told_to_come_back(self):
         self.pending.begin("t", self.record, self.voters, 0.0)
+        self.pending.confirmed("r1", "a", "draining")
         self.pending.confirmed("r2", "a", "draining")
         self.assertEqual(self.pending.expired(0.6), [])
         self.assertEqual(self.pending.expired(0.7), ["t"])
         self.assertEqual(self.pending.confirmed("r3", "a", "draining"), [])
         # What was confirmed before the server's next call says nothing of those voters now.
-        messages, done = self.pending.begin("u", self.record, self.voters, 0.9)
-        self.assertEqual((len(messages), done), (4, False))
+        self.assertEqual(len(self.pending.begin("u", self.record, self.voters, 0.9)), 5)
 
     def test_a_confirmation_speaks_for_the_calls_that_wait_and_no_later_one(self):
         voters = ["r1", "r2", "r3"]
         self.pending.begin("t", self.record, voters, 0.0)
         self.pending.begin("u", self.record, voters, 0.1)
+        self.assertEqual(self.pending.confirmed("r1", "a", "draining"), [])
         self.assertEqual(sorted(self.pending.confirmed("r2", "a", "draining")), ["t", "u"])
         # r2 loses its disk here, or is cut off: that it held the record once is no majority.
-        self.assertFalse(self.pending.begin("v", self.record, voters, 1.3)[1])
+        self.pending.begin("v", self.record, voters, 1.3)
+        self.assertEqual(self.pending.confirmed("r1", "a", "draining"), [])
 
     def test_out_of_touch_is_refused_at_once(self):
         for voters, reachable in ((self.voters, ["r2"]), (self.voters, ["r1", "r2"]), ([], ["r2"])):
             with self.assertRaises(quorum.QuorumError):
                 self.pending.begin("t", self.record, voters, 0.0, reachable)
-        self.assertEqual(self.pending.begin("t", self.record, ["r1"], 0.0, []), ([], True))
+        self.assertEqual([to for to, _ in self.pending.begin("t", self.record, ["r1"], 0.0, [])], ["r1"])
+        self.assertEqual(self.pending.confirmed("r1", "a", "draining"), ["t"])
+
+    def test_our_own_copy_counts_no_sooner_than_that_of_another_voter(self):
+        self.pending.begin("t", self.record, ["r1", "r2", "r3"], 0.0)
+        self.assertEqual(self.pending.confirmed("r2", "a", "draining"), [])
+        self.assertEqual(self.pending.confirmed("r1", "a", "draining"), ["t"])
+
+    def test_a_confirmation_is_that_of_an_id_not_of_an_address(self):
+        voters = {"r1": "x", "r2": "y", "r3": "z"}
+        self.pending.begin("t", self.record, voters, 0.0)
+        self.pending.confirmed("r2", "a", "draining", by="y")
+        self.pending.seat(voters | {"r2": "new"}, 7)    # r2 has lost its disk and was let in again
+        self.assertEqual(self.pending.confirmed("r1", "a", "draining", by="x"), [])
+        self.assertEqual(self.pending.confirmed("r2", "a", "draining", by="y"), [])
+        self.assertEqual(self.pending.confirmed("r2", "a", "draining", by="new"), ["t"])
+
+    def test_a_change_of_voters_concerns_what_waits(self):
+        self.pending.begin("t", self.record, {"r1": "x", "r2": "y", "r3": "z"}, 0.0)
+        self.pending.confirmed("r3", "a", "draining", by="z")
+        self.pending.seat({"r1": "x", "r2": "y", "r4": "w"}, 7)
+        self.assertEqual(self.pending.confirmed("r1", "a", "draining", by="x"), [])
+        self.assertEqual([to for to, _ in self.pending.again(0.3)], ["r2", "r4"])
+        self.assertEqual(self.pending.confirmed("r4", "a", "draining", by="w"), ["t"])
+
+    def test_who_may_not_know_the_voters_is_not_confirmed(self):
+        register = Register("r2")
+        self.assertIsNone(quorum.answer(quorum.Hold(self.record, 6), register, 0.1, "y", 7))
+        self.assertEqual(register.get("a", 0.1).phase, "draining")
+        self.assertEqual(quorum.answer(quorum.Hold(self.record, 7), register, 0.1, "y", 7).by, "y")
+        self.assertIsNotNone(quorum.answer(quorum.Hold(self.record), register, 0.1, "y", 7))
 
     def test_a_voter_confirms_what_it_holds(self):
         register = Register("r2")
--- a/tests/folio/test_registry.py
+++ b/tests/folio/test_registry.py
@@ -275,6 +275,22 @@
             9    |        |               |                |                     | ?usable i-3
             """)
 
+    def test_what_was_acknowledged_of_a_server_outlives_a_loss_of_power_of_all(self):
+        for after in ("3.25", "3.5", "3.75", "4.1"):      # the whole register is written each second
+            with self.subTest(after=after):
+                system = self.play(f"""
+                    time    | events                       | r1                  | r2            | r3
+                    2       |                              | beat i-1 up 1       | beat i-2 up 1 |
+                    3.1     |                              | beat i-1 draining 2 | delete i-2    |
+                    3.2     |                              | ?200                | ?200          |
+                    {after} | kill r1; kill r2; kill r3    |                     |               |
+                    4.5     | start r1; start r2; start r3 |                     |               |
+                    5       |                              |                     |               |
+                    """)
+                for name, registry in system.registries.items():
+                    usable = [r.id for r in registry.register.records(registry.now()) if r.usable]
+                    self.assertEqual(usable, [], name)
+
     def test_an_acknowledged_end_is_known_after_any_one_is_lost(self):
         for lost in REGISTRIES:
             self.play(f"""
--- a/tests/folio/test_retiring.py
+++ b/tests/folio/test_retiring.py
@@ -380,12 +380,13 @@
 
     def test_a_word_of_the_operator_counts_from_disks_and_a_later_one_is_found(self):
         pending, record = quorum.Pending("r1"), Record("a", retired=1)
-        messages, done = pending.begin("t", record, ["r1", "r2", "r3"], 0.0)
-        self.assertEqual(([to for to, _ in messages], done), (["r1", "r2", "r3"], False))
+        messages = pending.begin("t", record, ["r1", "r2", "r3"], 0.0)
+        self.assertEqual([to for to, _ in messages], ["r1", "r2", "r3"])
         self.assertEqual(pending.confirmed("r2", "a", "up"), [])
         self.assertEqual(pending.confirmed("r2", "a", "up", 1), [])
         self.assertEqual(pending.confirmed("r1", "a", "up", 1), ["t"])
-        self.assertFalse(pending.begin("v", record, ["r1", "r2", "r3"], 1.0)[1])
+        pending.begin("v", record, ["r1", "r2", "r3"], 1.0)
+        self.assertEqual(pending.confirmed("r1", "a", "up", 1), [])
         asked = retiring.Asked(["a", "b"], True)
         self.assertTrue(asked.held("a", Record("a", retired=2)))
         self.assertFalse(asked.held("a", Record("a", retired=3)))
