A holder of a duty names its borrowers to the voters, and a desk is lent to once a majority has it

Cause: a new giver knew the desks that its own registry had seen. A giver and a desk whose registry that one could not reach, lost in the same moment, left shares in use that nobody knew of.

Change: requests for a duty carry the borrowers that came or ended since what the voter has; voters keep them with the grant and tell the next holder with its first grant. Reports of desks that no majority has wait for one exchange, and all that come meanwhile go with the next. Voters that may not know all say so; where fewer than a majority know, what the registry has seen counts as before. Fields are appended; voters of a version before count as having all, and one that granted to such a holder as knowing nothing.

--- a/folio/lending/check.py
+++ b/folio/lending/check.py
@@ -30,13 +30,13 @@
 from folio.lending.slices import PARTS, Holdings, Known, Lease, Lender, LendingTerms, Reserve, beside_slices
 from folio.membership.duties import Duties, DutyTerms, Granted
 from folio.membership.sessions import Roll
-from folio.schedules import Course, Report, Violation, play
+from folio.schedules import Course, Mutant, Report, Violation, play
 
 STEPS = 30      # acts of a schedule
 KEY = "quota/0"
 WINDOW, EXCESS, SLACK = 5.0, 0.1, 20.0      # the rule in force: s, parts of the quota, requests
 DRIFT = 0.01            # most that a clock gains or loses, so that two differ in speed by up to 2%
-TICK, SLICES, PULSE, TELL, SAVE = 0.05, 0.1, 0.25, 0.5, 1.0     # s, as in the daemons
+TICK, SLICES, PULSE, TELL, SAVE, STRIKE = 0.05, 0.1, 0.25, 0.5, 1.0, 1.0    # s, as in the daemons
 REPORT, REPORT_SOON, SILENT, DRAW_TIMEOUT = 0.5, 0.15, 1.1, 0.06    # s, likewise
 LATELY, UNKNOWN = 60.0, 96      # likewise
 NEAR = 1.1              # s after it was last heard that a registry counts as near
@@ -154,6 +154,8 @@
             world.disks[name] = {"holders": {}, "desks": set(), "whole": False}
         self.lender: Lender | None = None
         self.reserve: Reserve | None = None
+        self.unnamed: dict[str, tuple] = {}     # reports that wait until a majority has the desk
+        self.strike_at = now
         self.heard_at: dict[str, float] = {}
         self.told: dict[str, int] = {}
         self.sessions: dict[str, int] = {}      # desk -> its session's number
@@ -192,6 +194,7 @@
 
     def on_duty(self, other: str, message: Any) -> None:
         self._carry(self.duties.handle(other, message, self.clock()))
+        self._answer_named(self.clock())
 
     def on_open(self, desk: str, life: int, hop: int) -> None:
         self.sessions[desk] = hop
@@ -203,13 +206,13 @@
         self.roll.renewed(desk, now)
         holder = self.duties.holder_of(KEY, now)
         if holder == self.name:
-            self._answer(desk, self._lease(desk, asks, held, now))
+            self._lease(desk, asks, held, now, lambda lease: self._answer(desk, lease))
         elif holder is not None:
             self.world.between(self, holder, Giver.on_ask, self.name, desk, asks, held)
 
     def on_ask(self, other: str, desk: str, asks: dict[str, float], held: Any) -> None:
-        if (lease := self._lease(desk, asks, held, self.clock())) is not None:
-            self.world.between(self, other, Giver.on_lent, desk, lease)
+        self._lease(desk, asks, held, self.clock(),
+                    lambda lease: self.world.between(self, other, Giver.on_lent, desk, lease))
 
     def on_lent(self, desk: str, lease: Lease) -> None:
         self._answer(desk, lease)
@@ -240,8 +243,13 @@
         if self.lender is not None:
             if self.duties.holds(KEY, now) != self.lender.fence:
                 self.lender = None
+                self.unnamed.clear()
             else:
                 self.lender.expect = self.roll.count(now)
+                if now >= self.strike_at:
+                    self.strike_at = now + STRIKE
+                    self.duties.strike(KEY, self.lender.borrowers() | self.unnamed.keys(), now)
+        self._answer_named(now)
         tell = now >= self.tell_at
         if now >= self.pulse_at:
             self.pulse_at = now + PULSE
@@ -298,28 +306,44 @@
         for to, message in out:
             self.world.between(self, to, Giver.on_duty, self.name, message)
 
-    def _answer(self, desk: str, lease: Lease | None) -> None:
-        if lease is not None:
-            self.world.to_desk(self, desk, Site.slice, lease)
+    def _answer(self, desk: str, lease: Lease) -> None:
+        self.world.to_desk(self, desk, Site.slice, lease)
 
-    def _lease(self, desk: str, asks: dict[str, float], held: Any, now: float) -> Lease | None:
+    def _lease(self, desk: str, asks: dict[str, float], held: Any, now: float,
+               answer: Callable[[Lease], None]) -> None:
         fence = self.duties.holds(KEY, now)
         if fence is None:
-            return None
+            return
         if held.fence > fence:
             self._carry(self.duties.saw(KEY, held.fence, now))
-            return None
+            return
         if self.lender is None or self.lender.fence != fence:
-            self.known.saw(self.roll.members(now), now)
-            known = self.known.known(now)
+            known = named = self.duties.borrowers(KEY)
+            if named is None:
+                self.known.saw(self.roll.members(now), now)
+                known = self.known.known(now)
+            self.duties.begin_list(KEY, named or (), now, partial=named is None)
+            self.unnamed.clear()
             self.lender = self.world.parts.lender(
                 fence, known, self.roll.count(now), now, self.world.parts.terms,
                 lambda tenant: self.world.versions[self.ver][tenant].rate,
                 lambda: self.world.versions[self.ver])
             self.reserve = self.world.parts.reserve(now)
             self.world.outcomes["takeovers"] += 1
+            self.world.outcomes["takeovers with all borrowers named"] += named is not None
         self.known.saw([desk], now)
-        return self.lender.report(desk, asks, held, now)
+        self.unnamed[desk] = asks, held, answer
+        if not self.duties.named(KEY, desk):
+            self._carry(self.duties.name(KEY, [desk], now))
+        self._answer_named(now)
+
+    def _answer_named(self, now: float) -> None:
+        if self.lender is None or self.duties.holds(KEY, now) != self.lender.fence:
+            return
+        for desk in [desk for desk in self.unnamed if self.duties.named(KEY, desk)]:
+            asks, held, answer = self.unnamed.pop(desk)
+            if (lease := self.lender.report(desk, asks, held, now)) is not None:
+                answer(lease)
 
     def _drawn(self, tenant: str, now: float) -> tuple[int, float]:
         if self.lender is None or self.duties.holds(KEY, now) != self.lender.fence:
@@ -551,6 +575,8 @@
     def _wake(self, site: Site) -> None:
         site.still = False
         if self.sites.get(site.name) is site:
+            if site.ver >= 0:
+                self.used_at[site.ver] = self.now
             for tenant in self.versions[0]:
                 for _ in range(int(min(400, 5 * self.demand.get((site.name, tenant), 0.0)))):
                     self.ask(site, tenant)
@@ -793,12 +819,36 @@
                 world.disks[name] = None
             world.after(world.rng.choice((0.1, 1.0, 4.0, 12.0, 30.0)), world.start_giver, name)
 
+    def _lose_together(self) -> None:
+        """A registry is cut off from others; a desk comes to it, borrows, and is lost with its giver."""
+        world, rng = self.world, self.world.rng
+        holding = [name for name, giver in world.givers.items() if giver.lender is not None]
+        others = [name for name in world.names if name not in holding]
+        desk, at = rng.choice(world.desks), rng.choice(others)
+        for other in rng.sample(others, rng.choice((1, len(others) // 2))):
+            if other != at:
+                world.part(at, other, 20.0)
+        for name in world.names:
+            if name != at:
+                world.part(desk, name, 30.0)
+        if rng.random() < 0.5:
+            world.sites.pop(desk, None)
+            world.run_until(world.now + rng.choice((0.5, 10.0)))
+            world.start_site(desk)
+        self._demand("large", {desk: 2.0 * world.versions[world.ver]["large"].rate + 1.0})
+        world.run_until(world.now + rng.choice((0.02, 0.1, 0.3, 1.0, 4.0)))
+        for name in holding:
+            self._end(name, False)
+        world.after(rng.choice((0.0, 0.01, 0.2, 1.0)), world.part, desk, at, 20.0)
+        self._hot()
+
     def _freeze(self) -> None:
         rng = self.world.rng
         self.world.freeze(rng.choice(self.world.names), rng.choice((0.3, 1.4, 3.0, 12.0)))
 
     _ACTS = (_hot, _hot, _hot, _swing, _swing, _silence, _calm, _configure, _cut_desks, _cut_desks,
-             _cut_givers, _end_desks, _rest_desk, _end_giver, _end_giver, _end_all, _freeze, _freeze)
+             _cut_givers, _end_desks, _rest_desk, _end_giver, _end_giver, _end_all, _freeze, _freeze,
+             _lose_together, _lose_together)
 
 
 def _terms(rng: Random) -> TenantTerms:
@@ -814,6 +864,113 @@
     return report
 
 
+# The code without one of its guards.
+
+
+class _LenderThatForgets(Lender):
+    """Takes a lowering for done before the desk has named the new lease."""
+
+    def _rebound(self, known: Any, now: float) -> None:
+        known.lent = known.lent[-1:]
+        super()._rebound(known, now)
+
+
+class HoldingsThatObeyAll(Holdings):
+    """Obeys a lower fence than it has obeyed."""
+
+    def take(self, lease: Lease, now: float) -> bool:
+        """As a desk would that does not compare fences."""
+        if lease.fence < self.fence:
+            self.fence, self._epoch = lease.fence, -1
+        return super().take(lease, now)
+
+
+class _VotersThatGrantToAll(Duties):
+    def _on_seek(self, sender: str, seek: Any, now: float) -> Any:
+        self._votes[seek.key].until = float("-inf")
+        return super()._on_seek(sender, seek, now)
+
+
+class _BucketsThatHoldMore(Admission):
+    def slice_of(self, tenant: str, share: Any, now: float, floor: float = 0.0, extra: float = 0.0,
+                 until: float = 0.0) -> None:
+        super().slice_of(tenant, share, now, floor, extra=extra + 40.0, until=until)
+
+
+class _ReserveWithoutEnd(Reserve):
+    def draw(self, tenant: str, rate: float, burst: float, count: int, now: float) -> tuple[int, float]:
+        return count, 0.0
+
+
+class BorrowersUnnamed(Duties):
+    """As before borrowers were named: a new giver knows those that its own registry has seen."""
+
+    def borrowers(self, key: str) -> None:
+        """Not known."""
+
+    def named(self, key: str, name: str) -> bool:
+        """Nobody needs to be."""
+        return True
+
+
+class LentToUnnamed(Duties):
+    """Lends to a desk at once, and names it meanwhile."""
+
+    def named(self, key: str, name: str) -> bool:
+        """Without a majority."""
+        return True
+
+
+class _BelievesTheBlind(Duties):
+    def _list(self, vote: Any, seek: Any, now: float) -> Any:
+        vote.blind_until = float("-inf")
+        return super()._list(vote, seek, now)
+
+
+class _BelievesAny(Duties):
+    def borrowers(self, key: str) -> set[str] | None:
+        told = [names for names in self._hands[key].told.values() if names is not None]
+        return {name for names in told for name in names} if told else None
+
+
+class _StrikesEarly(Duties):
+    def strike(self, key: str, keep: Any, now: float) -> None:
+        super().strike(key, (), now)
+
+
+class _ListsAnew(Duties):
+    def begin_list(self, key: str, names: Any, now: float, partial: bool = False) -> None:
+        super().begin_list(key, (), now, partial)
+
+
+class _NeverPartial(Duties):
+    def begin_list(self, key: str, names: Any, now: float, partial: bool = False) -> None:
+        super().begin_list(key, names, now)
+
+
+def _mutant(guard: str, seed: int | None = None, why: str = "", desks: int = 3, **parts: Any) -> Mutant:
+    return Mutant(guard, lambda seeds: run(seeds, STEPS, Parts(**parts), desks), seed, why)
+
+
+MUTANTS = (
+    _mutant("the wait until a lowering is confirmed", 22, lender=_LenderThatForgets),
+    _mutant("one holder at a voter at a time", 0, duties=_VotersThatGrantToAll),
+    _mutant("the voters' margin", 3, duty_terms=DutyTerms(margin=-0.2)),
+    _mutant("the fence at the desk", 22, holdings=HoldingsThatObeyAll),
+    _mutant("the bound of the extra", 5, admission=_BucketsThatHoldMore),
+    _mutant("the bound of the reserve", 0, reserve=_ReserveWithoutEnd),
+    _mutant("borrowers named to the next giver", 9, duties=BorrowersUnnamed),
+    _mutant("the majority that has a borrower before it is lent to", 2, duties=LentToUnnamed),
+    _mutant("blindness of a voter that has started", 3, duties=_BelievesTheBlind),
+    _mutant("the majority that tells of borrowers", 8, duties=_BelievesAny),
+    _mutant("the lease's end before a borrower is struck", 1, duties=_StrikesEarly),
+    _mutant("the borrowers of the hand before in the new list", 31, duties=_ListsAnew),
+    _mutant("blindness of voters that take a list with gaps", why=(
+        "takes two changes of hands within 9 s of starts, and a desk cut off through both"),
+        duties=_NeverPartial),
+)
+
+
 def figures(report: LendingReport) -> list[str]:
     """The report's figures as lines of text."""
     lines = [f"largest sum of shares in use {report.shares:.4f}"]
--- a/folio/membership/duties.py
+++ b/folio/membership/duties.py
@@ -22,22 +22,33 @@
 an asker that may not know the voters yet: whoever holds a key by the voters before has been without grants
 for a term when a newcomer grants its first.
 
+A holder lends to borrowers under its key, and the next one has to know them all. So each request names those
+that are new to the voter it goes to, and who borrows no more; the voter keeps them with the grant, in memory.
+`named` tells the holder whom a majority has. A candidate is told by the voters whom they have of the hand
+before: those of a majority together are all (`borrowers`). A voter that has just started, has just become
+one, or has granted to a version that names nobody, is of no use in that until what was lent has ended.
+
 All times are seconds of a steady clock.
 """
 
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from random import Random
 
 import msgspec
 
 RANDOM_BITS = 20
+_ALL = 1 << 62
 
 
 class Seek(msgspec.Struct, array_like=True, tag="duties.seek"):
     """Asks a voter for a key for `term` seconds. Fence 0: which fences have been seen?
 
     `slot` is the newest slot of the log that the asker knows; -1: not told, by a version before.
+
+    `news` are borrowers that came ("+name") or ended ("-name"), in the order in which they did, from number
+    `base` on of list `listing` of this fence; `base` 0: from none at all. Listing 0: nobody is named yet; -1:
+    by a version that does not name them. `partial`: others may hold what the hand before has lent.
     """
 
     key: str
@@ -45,14 +56,24 @@
     fence: int
     term: float
     slot: int = -1
+    listing: int = -1
+    base: int = 0
+    news: list[str] = []
+    partial: bool = False
 
 
 class Granted(msgspec.Struct, array_like=True, tag="duties.granted"):
-    """The voter has the asker as the holder; `seen` is the highest fence it knows of."""
+    """The voter has the asker as the holder; `seen` is the highest fence it knows of.
+
+    `count` is up to which number it has the list that the asker began; -1: a version before, it keeps none.
+    `borrowers`, for who has not begun one: those of the hand before, None if the voter may not know them all.
+    """
 
     key: str
     token: int
     seen: int
+    count: int = -1
+    borrowers: list[str] | None = None
 
 
 class Refused(msgspec.Struct, array_like=True, tag="duties.refused"):
@@ -96,6 +117,7 @@
     # A holder gives a key up once it has not been the wanted one for so long. Each change of hands begins
     # with an empty reserve, so one that came back waits.
     settle: float = 20.0
+    lasts: float = 9.0  # longer than a borrower can use what it was lent
 
 
 class Vote(msgspec.Struct):
@@ -105,13 +127,18 @@
     token: int = 0
     until: float = float("-inf")
     seen: int = 0
+    listing: tuple[int, int] = (0, 0)  # whose list it has: the fence and the number of the list
+    count: int = 0  # up to which number
+    borrowers: dict[str, None] = {}
+    blind_until: float = float("-inf")  # until when borrowers may be missing
 
 
 class Hand(msgspec.Struct):
     """A candidate's or holder's own state for one key."""
 
-    sent: dict[int, tuple[float, int]] = {}  # token -> (when, fence asked with)
+    sent: dict[int, tuple[float, int, int]] = {}  # token -> (when, fence and list asked with)
     grants: dict[str, tuple[float, int]] = {}  # voter -> (when the granted request was sent, its fence)
+    newest: dict[str, int] = {}  # voter -> the token of the newest request that it has granted
     fence: int = 0
     seen: int = 0
     since: float | None = None  # when the round began; None = not seeking
@@ -119,6 +146,14 @@
     next_at: float = float("-inf")
     unwanted: float | None = None  # since when another one is wanted
     token: int = 0
+    # Borrowers, under this fence.
+    told: dict[str, list[str] | None] = {}  # voter -> those of the hand before
+    listing: int = 0  # the list that is being kept; 0: not begun
+    news: list[str] = []
+    places: dict[str, int] = {}  # borrower -> the number it was named with; 0: a majority has had it for long
+    counts: dict[str, int] = {}  # voter -> up to which number it has the list
+    asked: int = 0  # up to which number it was named to all
+    whole_at: float = float("-inf")  # when those that are not listed hold nothing any more
 
 
 def wanted(key: str, registries: Iterable[str]) -> str | None:
@@ -150,7 +185,8 @@
         self._voters: frozenset[str] | None = None
         self._slot, self._since, self._changing = -1, -1, False
         self.learning = False   # a newcomer that has not been told the fences yet; set by the owner
-        self._votes = {key: Vote() for key in self.keys}
+        blind = float("-inf") if remembered == {} else now + self.terms.lasts
+        self._votes = {key: Vote(blind_until=blind) for key in self.keys}
         self._hands = {key: Hand() for key in self.keys}
         self._told: dict[str, tuple[str, float, int]] = {}  # key -> holder, until, fence
         self._closing = False
@@ -209,6 +245,8 @@
             # The holder may still count on the voters before, and we know nothing of its grants.
             self._silent_until = max(self._silent_until, now + self.terms.term + self.terms.margin)
             self._remembered = None
+            for vote in self._votes.values():
+                vote.blind_until = now + self.terms.lasts
         self._voters = voters
         self._slot, self._since, self._changing = slot, since, changing
 
@@ -258,6 +296,61 @@
             out += self._give_up(key, self._hands[key], now)
         return self._route(out, now)
 
+    def borrowers(self, key: str) -> set[str] | None:
+        """Who may hold what the hands before ours have lent; None: voters that know are no majority."""
+        told = [names for voter, names in self._hands[key].told.items()
+                if names is not None and voter in (self._voters or ())]
+        if 2 * len(told) <= len(self._voters or ()):
+            return None
+        return {name for names in told for name in names}
+
+    def begin_list(self, key: str, names: Iterable[str], now: float, partial: bool = False) -> None:
+        """Begin to name borrowers under the fence that is held, with those that a majority has already.
+
+        `partial`: others may hold what the hand before has lent.
+        """
+        hand = self._hands[key]
+        if partial:
+            hand.whole_at = now + self.terms.lasts
+        hand.listing, hand.asked, hand.counts = hand.listing + 1, 0, {}
+        hand.places = dict.fromkeys(names, 0)
+        hand.news = [f"+{name}" for name in hand.places]
+
+    def name(self, key: str, names: Iterable[str], now: float) -> Outbox:
+        """Have these named as borrowers; nothing is sent while a majority has yet to answer what was."""
+        hand = self._hands[key]
+        for name in names:
+            if name not in hand.places:
+                hand.news.append(f"+{name}")
+                hand.places[name] = len(hand.news)
+        return self._route(self._spread(key, hand, now), now)
+
+    def strike(self, key: str, keep: Collection[str], now: float) -> None:
+        """Borrowers that are not among those to `keep` use nothing any more; told with the next request."""
+        hand = self._hands[key]
+        for name in [name for name in hand.places if name not in keep]:
+            del hand.places[name]
+            hand.news.append(f"-{name}")
+        if len(hand.news) > 2 * len(hand.places) + 64 and self._counted(hand) == len(hand.news):
+            self.begin_list(key, list(hand.places), now)
+
+    def named(self, key: str, name: str) -> bool:
+        """Whether a majority of the voters has this borrower: it may be lent to."""
+        hand = self._hands[key]
+        return hand.listing > 0 and hand.places.get(name, len(hand.news) + 1) <= self._counted(hand)
+
+    def _counted(self, hand: Hand) -> int:
+        """Up to which number a majority has the list."""
+        voters = self._voters or frozenset()
+        counts = sorted((hand.counts.get(voter, 0) for voter in voters), reverse=True)
+        return counts[len(voters) // 2] if counts else 0
+
+    def _spread(self, key: str, hand: Hand, now: float) -> Outbox:
+        """Name what is new, once what was asked before is with a majority: so many come with one request."""
+        if hand.asked == len(hand.news) or self._counted(hand) < hand.asked or self.holds(key, now) is None:
+            return []
+        return self._seek(key, hand, now)
+
     def take_unsaved(self) -> dict[str, str]:
         """Whom this voter has granted keys, under which fences, without a note of it.
 
@@ -284,6 +377,7 @@
         if vote.holder not in ("", sender) and now < vote.until:
             left = vote.until - now
             return [(sender, Refused(seek.key, seek.token, vote.seen, vote.holder, left))]
+        count, names = self._list(vote, seek, now)
         vote.holder, vote.token = sender, seek.token
         vote.until = now + seek.term + self.terms.margin
         vote.seen = max(vote.seen, seek.fence)
@@ -292,7 +386,26 @@
             self._saved[seek.key] = self.unsaved[seek.key] = note
         if seek.fence:
             self._tell(seek.key, sender, now + seek.term, seek.fence)
-        return [(sender, Granted(seek.key, seek.token, vote.seen))]
+        return [(sender, Granted(seek.key, seek.token, vote.seen, count, names))]
+
+    def _list(self, vote: Vote, seek: Seek, now: float) -> tuple[int, list[str] | None]:
+        """Keep whom a holder names: up to which number; or whom the hand before has named."""
+        if seek.partial or (seek.listing < 0 and seek.fence):
+            vote.blind_until = max(vote.blind_until, now + self.terms.lasts)
+        if seek.listing <= 0:
+            return 0, None if now < vote.blind_until or not seek.fence else list(vote.borrowers)
+        listing = (seek.fence, seek.listing)
+        if listing > vote.listing and seek.base == 0:
+            vote.listing, vote.count, vote.borrowers = listing, 0, {}
+        if listing != vote.listing:
+            return 0, None
+        for change in seek.news[vote.count - seek.base:] if vote.count >= seek.base else ():
+            if change[:1] == "+":
+                vote.borrowers[change[1:]] = None
+            else:
+                vote.borrowers.pop(change[1:], None)
+            vote.count += 1
+        return vote.count, None
 
     def _may_not_grant(self, seek: Seek) -> bool:
         """Whether our word may be counted by an asker that reckons with other voters than there are."""
@@ -349,26 +462,41 @@
     def _seek(self, key: str, hand: Hand, now: float) -> Outbox:
         hand.token += 1
         token = self._life | hand.token
-        hand.sent[token] = (now, hand.fence)
+        hand.sent[token] = (now, hand.fence, hand.listing)
         while len(hand.sent) > 16:
             del hand.sent[next(iter(hand.sent))]
         hand.next_at = now + (self.terms.renew if hand.held else self.terms.again)
-        seek = Seek(key, token, hand.fence, self.terms.term, self._slot)
-        return [(voter, seek) for voter in sorted(self._voters or ())]
+        hand.asked = len(hand.news)
+        out: Outbox = []
+        for voter in sorted(self._voters or ()):
+            base = min(hand.counts.get(voter, 0), len(hand.news))
+            out.append((voter, Seek(key, token, hand.fence, self.terms.term, self._slot, hand.listing, base,
+                                    hand.news[base:], now < hand.whole_at)))
+        return out
 
     def _on_granted(self, sender: str, granted: Granted, now: float) -> Outbox:
         hand = self._hands[granted.key]
-        sent = hand.sent.get(granted.token)
-        if sent is None or hand.since is None:
+        if granted.token not in hand.sent or hand.since is None:
             return []
+        when, fence, listing = hand.sent[granted.token]
+        sent = when, fence
         hand.seen = max(hand.seen, granted.seen)
-        if sent[1] == hand.fence and (sender not in hand.grants or hand.grants[sender] < sent):
+        newer = granted.token > hand.newest.get(sender, 0)
+        hand.newest[sender] = max(granted.token, hand.newest.get(sender, 0))
+        if sent[1] == hand.fence and newer:
             hand.grants[sender] = sent
         if hand.fence and hand.seen > hand.fence:
             return self._take_fence(granted.key, hand, now)
         if not hand.fence and now < self._end(hand, 0):
             return self._take_fence(granted.key, hand, now)
-        return []
+        if sent[1] != hand.fence or not hand.fence or not newer:
+            return []
+        if listing == 0:
+            hand.told[sender] = granted.borrowers
+        elif listing == hand.listing:
+            # A version before keeps none: its word is all there is.
+            hand.counts[sender] = granted.count if granted.count >= 0 else _ALL
+        return self._spread(granted.key, hand, now)
 
     def _on_refused(self, refused: Refused, now: float) -> None:
         hand = self._hands[refused.key]
@@ -380,6 +508,8 @@
         above = max(hand.seen, hand.fence) >> RANDOM_BITS
         hand.fence = (above + 1) << RANDOM_BITS | self._rng.getrandbits(RANDOM_BITS)
         hand.grants, hand.held, hand.since = {}, False, now
+        hand.told, hand.listing, hand.news, hand.places = {}, 0, [], {}
+        hand.counts, hand.asked, hand.whole_at = {}, 0, float("-inf")
         return self._seek(key, hand, now)
 
     def _give_up(self, key: str, hand: Hand, now: float) -> Outbox:
--- a/tests/folio/test_duties.py
+++ b/tests/folio/test_duties.py
@@ -362,6 +362,101 @@
         self.assertEqual((type(answer), answer.seen), (Granted, 0))
 
 
+class BorrowersTest(unittest.TestCase):
+    """Three voters and what is named to them; `lost` drops what goes to these."""
+
+    def setUp(self):
+        self.names, self.now, self.lost, self.sent = ranked(3), 0.0, set(), []
+        self.nodes = {name: Duties(name, Random(1), 0.0, [KEY], TERMS, remembered={}) for name in self.names}
+        self.run_for(4.0)
+
+    def carry(self, sender, out):
+        queue = [(sender, to, message) for to, message in out]
+        while queue:
+            sender, to, message = queue.pop(0)
+            self.sent.append(message)
+            if not {sender, to} & self.lost:
+                queue += [(to, *each) for each in self.nodes[to].handle(sender, message, self.now)]
+
+    def run_for(self, span):
+        for _ in range(round(span * 10)):
+            self.now += 0.1
+            live = set(self.names) - self.lost
+            for name in sorted(live):
+                self.carry(name, self.nodes[name].tick(self.now, live, set(self.names)))
+
+    def holder(self):
+        name, = (n for n in self.names if n not in self.lost and self.nodes[n].holds(KEY, self.now))
+        return name, self.nodes[name]
+
+    def begin(self):
+        name, node = self.holder()
+        known = node.borrowers(KEY)
+        node.begin_list(KEY, known or (), self.now, partial=known is None)
+        return name, node, known
+
+    def test_a_borrower_is_named_once_a_majority_has_it_and_known_to_the_next(self):
+        name, node, known = self.begin()
+        self.assertEqual(known, set())
+        self.lost = set(self.names) - {name}
+        self.carry(name, node.name(KEY, ["d1"], self.now))
+        self.assertFalse(node.named(KEY, "d1"))
+        self.lost = {self.names[2]}
+        self.run_for(0.6)       # with the next renewal
+        self.assertTrue(node.named(KEY, "d1"))
+        self.carry(name, node.name(KEY, ["d2"], self.now))      # at once
+        self.assertTrue(node.named(KEY, "d2"))
+        self.lost = {name}
+        self.run_for(6.0)
+        self.assertEqual(self.begin()[2], {"d1", "d2"})
+        self.assertTrue(self.holder()[1].named(KEY, "d1"))
+
+    def test_those_that_borrow_no_more_are_struck_and_requests_stay_short(self):
+        name, node, _ = self.begin()
+        for number in range(300):
+            self.carry(name, node.name(KEY, [f"d{number}"], self.now))
+            node.strike(KEY, {f"d{number}"}, self.now)
+            self.run_for(0.1)
+        self.run_for(1.0)
+        self.lost, self.sent = {name}, []
+        self.run_for(6.0)
+        self.assertEqual(self.begin()[2], {"d299"})
+        self.sent = []
+        self.run_for(2.0)
+        self.assertEqual(max(len(seek.news) for seek in self.sent if isinstance(seek, Seek)), 1)
+
+    def test_many_come_with_one_request(self):
+        name, node, _ = self.begin()
+        out = node.name(KEY, ["d0"], self.now)
+        self.assertEqual([node.name(KEY, [f"d{n}"], self.now) for n in range(1, 510)], [[]] * 509)
+        self.sent = []
+        self.carry(name, out)
+        self.assertTrue(all(node.named(KEY, f"d{n}") for n in range(510)))
+        self.assertEqual(sum(isinstance(message, Seek) for message in self.sent), 4)
+
+    def test_voters_that_started_lately_do_not_make_up_a_majority_that_knows(self):
+        name, node, _ = self.begin()
+        self.carry(name, node.name(KEY, ["d1"], self.now))
+        others = [other for other in self.names if other != name]
+        for other in others:
+            self.nodes[other] = Duties(other, Random(1), self.now, [KEY], TERMS, {KEY: f"{name} 1"})
+        self.lost = {name}
+        self.run_for(5.0)
+        self.assertIsNone(self.begin()[2])
+        self.run_for(9.0)
+        for other in others:    # nothing of it can be in use any more
+            self.assertIsNotNone(self.nodes[other]._list(self.nodes[other]._votes[KEY], Seek(
+                KEY, 1, 1 << 60, 2.0, listing=0), self.now + 9.5)[1])
+
+    def test_a_version_that_names_nobody_leaves_voters_blind_and_counts_as_having_all(self):
+        voter = self.nodes[self.names[2]]
+        voter.handle("old", Seek(KEY, 1, 1 << 61, 2.0), 50.0)
+        (_, answer), = voter.handle("new", Seek(KEY, 1, 1 << 62, 2.0, listing=0), 55.0)
+        self.assertIsNone(answer.borrowers)
+        (_, answer), = voter.handle("new", Seek(KEY, 2, 1 << 62, 2.0, listing=0), 60.0)
+        self.assertEqual(answer.borrowers, [])
+
+
 class GrantOnDiskTest(unittest.TestCase):
     """What a registry sends of duties waits for its disk only where a grant hangs on it.
 
