--- /dev/null
+++ b/folio/accession/check_handover.py
@@ -0,0 +1,1044 @@
+"""Model check of what a majority holds beside the log, while voters are lost and replaced.
+
+`run` plays seeded random schedules on a virtual time: servers that beat, drain and leave at any registry;
+operators who retire them and take it back; a duty that is sought and renewed. Voters crash, lose their disks,
+stand still, are cut off (also one way, also from one other), leave and are replaced, all lose power at once,
+and the next loss likes to come just after something was acknowledged, learned or agreed on. No more are lost
+at once than `survive` says: a machine is lost while it is down, stands still or is cut off, and for SYNC
+seconds after that or after its start. In a third of the schedules links also break as they like; what is said
+of registers then holds from SYNC seconds after they are mended. It watches that
+
+- what is acknowledged (a server drains or is gone; an operator's word) is in that moment on the disks of a
+  majority of the voters, each under the id that it votes with, but for disks just lost;
+- from then on no allowed loss takes the last copy: the voters not lost that hold it are more than may still
+  be lost, and so are the disks that hold it;
+- a newcomer that counts knows all that was acknowledged, and the highest fence held, before it was let in;
+- no registry that has been in touch with a majority for TOLD seconds calls a server usable that was
+  acknowledged as leaving so long ago;
+- one registry at a time holds the duty, and each hand has a higher fence than all before it;
+- in calm times somebody holds the duty, and no machine votes that is gone.
+
+The node of the log, its policy of voters, the registers, their repair, the acknowledgements, the duties and
+the handover are the real ones, driven by the real parts of the registry; links, disks and clocks are played.
+All times are seconds; what a class under check is told is its own machine's steady clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from functools import partial
+from typing import Any
+
+import msgspec
+
+from folio.accession import quorum
+from folio.accession.digest import DigestOffer, RangeRecords, Repair
+from folio.accession.handover import Handover, Learn, Learned
+from folio.accession.register import PHASES, Beat, Record, Register
+from folio.consensus import messages as consensus
+from folio.consensus.check import Disk as LogDisk
+from folio.consensus.messages import Voter
+from folio.consensus.node import Node, Timing
+from folio.consensus.records import Persist, Send
+from folio.consensus.voters import settle
+from folio.membership import duties
+from folio.membership.detector import Detector
+from folio.membership.duties import Duties
+from folio.membership.sessions import Roll
+from folio.registry.disk import COUNTED, DUTY
+from folio.registry.loans import Loans
+from folio.registry.machine import Machine as Configured
+from folio.registry.reports import NOTE as REGISTER
+from folio.registry.reports import Reports
+from folio.registry.retirements import NOTE as RETIRED
+from folio.registry.retirements import Retirements
+from folio.registry.slips import Slips
+from folio.schedules import Course, Mutant, Report, Violation, play
+from folio.transport import messages as m
+from folio.vault.store import Note
+
+STEPS = 30      # acts of a schedule
+KEY = "quota/0"
+SIZES = ((3, 1), (6, 1), (6, 2), (8, 1), (8, 2))    # voters, and how many may be lost at once; by the seed
+TICK, PING, TELL, REPAIR, SAVE = 0.05, 0.25, 0.5, 1.0, 1.0      # s, as in the daemon
+SYNC = 4.0      # s for which a machine counts as lost after its start, or after it is back
+STALLED = 1.5   # s after which a link that is cut one way carries nothing the other way either
+BEAT = 1.0      # s between reports of a server
+TOLD = 2.3      # s in touch, and after an acknowledgement, by which a registry has to know of it
+TRACKED = 25.0  # s after which a server that says no more may be forgotten
+LOOK = 0.1      # s between two looks at what must hold
+DRIFT = 0.01    # most that a clock gains or loses
+
+
+class Parts(msgspec.Struct, frozen=True):
+    """The classes under check; mutants put others in their place that lack a guard."""
+
+    node: Callable[..., Node] = Node
+    pending: Callable[..., quorum.Pending] = quorum.Pending
+    answer: Callable[..., Any] = quorum.answer
+    handover: Callable[..., Handover] = Handover
+    duties: Callable[..., Duties] = Duties
+    loans: Callable[..., Loans] = Loans
+    retirements: Callable[..., Retirements] = Retirements
+
+
+class Promise(msgspec.Struct):
+    """What was acknowledged of a server: at least this phase, and this epoch of the operator's."""
+
+    rank: int = 0
+    epoch: int = 0
+    at: float = 0.0     # when it was acknowledged first
+    till: float = 0.0   # until when it has to be known
+
+
+class Machine:
+    """What outlives a process: the disk, the clock, and since when it counts as lost."""
+
+    def __init__(self, world: World, addr: str) -> None:
+        self.world, self.addr = world, addr
+        self.speed = 1.0 + world.rng.uniform(-DRIFT, DRIFT)
+        self.zero = world.rng.uniform(100.0, 1e5)
+        self.log = LogDisk()
+        self.notes: dict[str, bytes] = {}
+        self.noted: dict[str, Record] = {}      # what the notes say of servers
+        self.saved: dict[str, Record] = {}      # what the whole register on disk says
+        self.voting = True
+        self.back_at = 0.0      # until when it counts as lost after it came back
+        self.wiped = False
+
+    def clock(self) -> float:
+        return self.zero + self.world.now * self.speed
+
+    def wipe(self) -> None:
+        self.log, self.notes, self.noted, self.saved = LogDisk(), {}, {}, {}
+
+    def has(self, ident: str, promise: Promise) -> bool:
+        """Whether it would still be known after a loss of power."""
+        return _has(self.saved.get(ident), promise) or _has(self.noted.get(RETIRED + ident), promise)
+
+    def put(self, note: Note) -> None:
+        """Write a note."""
+        if note.value is None:
+            self.notes.pop(note.key, None)
+            self.noted.pop(note.key, None)
+            return
+        self.notes[note.key] = note.value
+        if note.key.startswith(RETIRED):
+            self.noted[note.key] = msgspec.msgpack.decode(note.value, type=Record)
+        elif note.key == REGISTER:
+            records = msgspec.msgpack.decode(note.value, type=list[Record])
+            self.saved = {record.id: record for record in records}
+
+
+class Archive:
+    """The disk as the registry's parts see it: writes are synced in order, some at once, and then told of."""
+
+    def __init__(self, host: Host) -> None:
+        self.host, self.queue, self.free = host, [], 0.0
+
+    def write(self, records: list, done: Callable[[bool], None]) -> None:
+        world = self.host.world
+        self.free = max(self.free, world.now) + world.rng.uniform(0.001, 0.01)
+        self.queue.append((records, done))
+        world.after(self.free - world.now, self._synced, records, done)
+
+    def _synced(self, records: list, done: Callable[[bool], None]) -> None:
+        if self.host.alive and self.queue and self.queue[0][1] is done:
+            self.queue.pop(0)
+            self._put(records)
+            done(True)
+
+    def crash(self) -> None:
+        """Of what is not synced some first part may have reached the disk."""
+        for records, _ in self.queue[: self.host.world.rng.randint(0, len(self.queue))]:
+            self._put(records)
+        self.queue = []
+
+    def _put(self, records: list) -> None:
+        machine = self.host.machine
+        machine.log.write([record for record in records if not isinstance(record, Note)])
+        for record in records:
+            if isinstance(record, Note):
+                machine.put(record)
+
+
+class Peers:
+    """The links as the registry's parts see them."""
+
+    def __init__(self, host: Host, node: Node) -> None:
+        self.host, self.node, self.me = host, node, host.addr
+        self.detector = Detector(PING)
+        self.began = host.machine.clock()
+        self.echoes: dict[str, float] = {}
+
+    @property
+    def dialers(self) -> dict[str, None]:
+        return dict.fromkeys(addr for addr in self.host.world.fleet if addr != self.me)
+
+    def pinged(self, addr: str, ping: m.Ping, now: float) -> None:
+        self.echoes[addr] = ping.sent
+        self.detector.heard(addr, now, now - ping.echo if self.began <= ping.echo <= now else None)
+
+    def ping(self, now: float, addr: str = "") -> None:
+        self.detector.tick(now)
+        for to in [addr] if addr else self.dialers:
+            self.post(to, m.Ping(now, self.echoes.pop(to, 0.0), self.node.last))
+
+    def voters(self) -> list[str]:
+        return [voter.addr for voter in self.node.voters]
+
+    def voter_ids(self) -> dict[str, str]:
+        return {voter.addr: voter.id for voter in self.node.voters}
+
+    def near(self, now: float, among: Iterable[str] | None = None) -> set[str]:
+        return self.detector.near(now, self.dialers if among is None else among)
+
+    def in_touch(self, now: float) -> bool:
+        return self.detector.in_touch(now, self.voters(), self.me)
+
+    def post(self, addr: str, message: Any) -> None:
+        self.host.world.send(self.host, addr, message)
+
+    def post_all(self, out: list[tuple[str, Any]]) -> None:
+        for addr, message in out:
+            self.post(addr, message)
+
+    def broadcast(self, message: Any) -> None:
+        for addr in self.dialers:
+            self.post(addr, message)
+
+
+class Desks:
+    """No desks: what they would be told is read off the register."""
+
+    quiet: list[str] = []
+
+    def __init__(self) -> None:
+        self.sessions: dict[str, Any] = {}
+
+    def tell_news(self, now: float) -> None:
+        """Nobody listens."""
+
+
+class Call:
+    """A call of a server or an operator."""
+
+    def __init__(self, body: bytes, answered: Callable[[int], None]) -> None:
+        self.body, self.answered = body, answered
+
+    def reply(self, status: int, body: bytes = b"", **_: Any) -> None:
+        answered, self.answered = self.answered, lambda _: None
+        answered(status)
+
+
+class Host:
+    """A registry's process, as `folio.registry.daemon` puts it together."""
+
+    def __init__(self, world: World, machine: Machine, bootstrap: bool = False) -> None:
+        self.world, self.machine, self.addr = world, machine, machine.addr
+        self.alive, self.inbox = True, None
+        self.life = f"{self.addr}.{world.rng.getrandbits(32):x}"
+        parts, now = world.parts, machine.clock()
+        durable = machine.log.load()
+        machine.log.write(settle(durable, self.addr, world.founders, bootstrap, world.rng))
+        self.archive = Archive(self)
+        configured = Configured()
+        self.node = parts.node(Voter(durable.id, self.addr), durable, configured, world.rng,
+                               Timing(poll_all=False), voting=machine.voting, survive=world.survive,
+                               contacts=[addr for addr in world.fleet if addr != self.addr])
+        counted = machine.notes.get(COUNTED, b"").decode()
+        self.handover = parts.handover(durable.id, durable.id in (counted, f"genesis/{self.addr}"))
+        self.register = Register(self.life, now)
+        self.repair, self.pending, self.slips = Repair(self.register), parts.pending(self.addr), Slips()
+        self.peers, self.desks = Peers(self, self.node), Desks()
+        remembered = {key[len(DUTY):]: value.decode() for key, value in machine.notes.items()
+                      if key.startswith(DUTY)}
+        self.duties = parts.duties(self.addr, world.rng, now, [KEY], remembered=remembered if (
+            remembered or bootstrap) else None)
+        self.loans = parts.loans(self.duties, configured, Roll(self.addr, self.life), self.desks, self.peers,
+                                 self.archive)
+        self.retirements = parts.retirements(None, self.register, self.pending, None, self.peers, self.desks,
+                                             self.archive, self.slips)
+        self.reports = Reports(self.register, self.repair, self.pending, self.peers, self.desks,
+                               self.retirements, self.slips, now)
+        self.reports.restore(machine.notes, now)
+        self._learned: list[Note] = []
+        self._noted = False
+        self._seated: tuple[int, bool, list] | None = None
+        self._due_at = dict.fromkeys(("ping", "tell", "repair"), 0.0) | {"save": now + SAVE}
+        self.touch_since: float | None = None
+        self.fence: int | None = None
+        self.counted = self.handover.counts and self.node.me in world.voters
+        self._handlers: dict[type, Callable[[str, Any, float], None]] = {
+            m.Ping: self._pinged,
+            **dict.fromkeys(consensus.Message.__args__, self._agree),
+            **dict.fromkeys(duties.Message.__args__, self.loans.take),
+            m.Rows: self.reports.rows, m.Heard: self.reports.heard,
+            DigestOffer: self.reports.mend, RangeRecords: self.reports.mend,
+            quorum.Hold: self.retirements.hold, quorum.Held: self.reports.held,
+            Learn: self._learn, Learned: self._taught,
+        }
+
+    # What comes
+
+    def take(self, sender: str, message: Any) -> None:
+        """A message, or a call of `sender` ""."""
+        if self.inbox is not None:
+            self.inbox.append((sender, message))
+            return
+        now = self.machine.clock()
+        self._seat(now)
+        if not sender:
+            message(now)
+        else:
+            self._handlers[type(message)](sender, message, now)
+        self.world.look_at(self)
+
+    def thaw(self) -> None:
+        inbox, self.inbox = self.inbox or [], None
+        if self.world.rng.random() < 0.5:
+            self.due()
+        for sender, message in inbox:
+            if self.alive:
+                self.take(sender, message)
+
+    def call(self, what: Callable[[Call, float], None], call: Call) -> None:
+        """A server's or an operator's call."""
+        self.take("", lambda now: what(call, now))
+
+    def _pinged(self, addr: str, ping: m.Ping, now: float) -> None:
+        self.peers.pinged(addr, ping, now)
+        self.node.heard(addr, now)
+        self._carry(self.node.hint(addr, ping.last, now))
+
+    def _agree(self, addr: str, message: Any, now: float) -> None:
+        self._carry(self.node.handle(addr, message, now))
+
+    def _carry(self, effects: list) -> None:
+        for effect in effects:
+            if isinstance(effect, Send):
+                self.peers.post(effect.addr, effect.message)
+            elif isinstance(effect, Persist):
+                self.archive.write(effect.records, partial(self._kept, effect))
+        self.world.learned(self)
+        delay = self.node.next_tick - self.machine.clock()
+        if delay < TICK:
+            self.world.after(max(0.001, delay), self._agree_due)
+
+    def _kept(self, persist: Persist, ok: bool) -> None:
+        self._carry(list(persist.then))
+
+    def _agree_due(self) -> None:
+        now = self.machine.clock()
+        if self.alive and self.inbox is None and now >= self.node.next_tick:
+            self._carry(self.node.tick(now))
+
+    # As in the daemon
+
+    def _seat(self, now: float) -> None:
+        node = self.node
+        state = node.last, node.changing, node.voters
+        if state != self._seated:
+            if node.changing:
+                self.world.moment()
+            self._seated = state
+            ids = self.peers.voter_ids()
+            self.handover.seat(ids, now)
+            self.duties.seat(frozenset(ids), now, node.last, node.voters_since, node.changing)
+            self.pending.seat(ids, node.last)
+        node.ready = self.handover.ready
+        self.duties.learning = self.handover.learning
+        if self.handover.counts and not self.counted and self.node.me in self.node.voters:
+            self.counted = True
+            self.world.counts(self)
+
+    def _learn(self, addr: str, learn: Learn, now: float) -> None:
+        learned = self.handover.answer(learn, self.register, self.duties.fences(), self.node.last,
+                                       self.node.voters_since, now)
+        if learned is not None:
+            self.peers.post(addr, learned)
+
+    def _taught(self, _: str, learned: Learned, now: float) -> None:
+        if self.handover.ready:
+            return
+        self._learned += self.retirements.learn(learned.records, now) + self.loans.learn(learned.fences)
+        if self.handover.take(learned):
+            notes, self._learned = self._learned, []
+            self.archive.write(notes, lambda _: self._may_count(learned.number))
+
+    def _may_count(self, number: int) -> None:
+        self.handover.kept(number)
+        self.world.moment()
+
+    def due(self) -> None:
+        """What the daemon does at each tick."""
+        if self.inbox is not None:
+            return
+        now, due = self.machine.clock(), self._due_at
+        self._agree_due()
+        voters = set(self.peers.voters())
+        self.node.learners = [addr for addr in self.peers.dialers if addr not in voters]
+        self._seat(now)
+        if self.node.voting:
+            self.peers.post_all(self.handover.tick(now, self.node.last, self.node.voters_since))
+            if self.handover.counts and not self._noted:
+                self._noted = True
+                self.archive.write([Note(COUNTED, self.node.me.id.encode())], lambda _: None)
+        self.loans.tick(now, self.peers.near(now), voters)
+        self.reports.tick(now)
+        if now >= due["ping"]:
+            due["ping"] = now + PING
+            self.peers.ping(now)
+        if now >= due["tell"]:
+            due["tell"] = now + TELL
+            self.reports.tell(now)
+            self.register.expire(now)
+        if now >= due["repair"]:
+            due["repair"] = now + REPAIR * self.world.rng.uniform(0.8, 1.2)
+            if near := sorted(self.peers.near(now)):
+                self.reports.offer(self.world.rng.choice(near), now)
+        if now >= due["save"]:
+            due["save"] = now + SAVE
+            if records := self.reports.unsaved(now):
+                self.archive.write(records, self.reports.saved)
+        if not self.peers.in_touch(now):
+            self.touch_since = None
+        elif self.touch_since is None:
+            self.touch_since = self.world.now
+        self.world.look_at(self)
+
+
+class World(Course):
+    """Machines, the links between them, servers and what was acknowledged of them."""
+
+    def __init__(self, seed: int, voters: int, survive: int, parts: Parts) -> None:
+        super().__init__(seed)
+        self.parts, self.survive = parts, survive
+        self.founders = [f"10.{1 + n // 2}.0.{4 + n % 2}:8407" for n in range(voters)]
+        self.fleet = {addr: Machine(self, addr) for addr in self.founders}
+        self.hosts: dict[str, Host] = {}
+        self.gone: set[str] = set()     # lost for good, and not yet replaced among the voters
+        self.last, self.voters = 0, [Voter(f"genesis/{addr}", addr) for addr in self.founders]
+        self.let_in: dict[str, tuple[float, int]] = {}      # id -> when, and the highest fence held before
+        self.shut: dict[tuple[str, str], tuple[float, float]] = {}  # way -> from when until when
+        self.broken: set[tuple[str, str]] = set()   # links that have to be made anew
+        self.arrives: dict[tuple[str, str], float] = {}     # of each link, when its last message comes
+        self.promises: dict[str, Promise] = {}
+        self.servers: dict[str, Server] = {}
+        self.fences: list[int] = []
+        self.dark_until = 0.0   # until when all count as lost
+        self.strikes = True
+        self.torn = seed % 3 == 2   # whether links break as they like; then less has to hold meanwhile
+        for addr in self.founders:
+            self.start(addr, True)
+        self.after(LOOK, self._check)
+
+    # Machines
+
+    def start(self, addr: str, bootstrap: bool = False) -> None:
+        if addr in self.hosts or addr not in self.fleet:
+            return
+        machine = self.fleet[addr]
+        if not bootstrap:
+            machine.back_at = self.now + SYNC
+        host = self.hosts[addr] = Host(self, machine, bootstrap)
+        for other in self.fleet:
+            if other != addr:
+                self.broken |= {(addr, other), (other, addr)}
+        self.after(self.rng.uniform(0.0, TICK), self._due, host)
+
+    def _due(self, host: Host) -> None:
+        if host.alive:
+            host.due()
+            self._mend_links(host)
+            self.after(TICK, self._due, host)
+
+    def crash(self, addr: str, wiped: bool = False) -> None:
+        host = self.hosts.pop(addr, None)
+        if host is not None:
+            host.alive = False
+            host.archive.crash()
+        if wiped:
+            self.fleet[addr].wipe()
+
+    def freeze(self, addr: str, span: float) -> None:
+        host = self.hosts.get(addr)
+        if host is not None and host.inbox is None:
+            host.inbox, host.touch_since = [], None
+            self.after(span, self._thaw, host)
+
+    def _thaw(self, host: Host) -> None:
+        if host.alive:
+            host.machine.back_at = self.now + SYNC
+            host.thaw()
+
+    def cut(self, addr: str, others: Iterable[str], span: float, ways: tuple[bool, bool]) -> None:
+        """Cut a machine off from others for a while: what it says, what it hears."""
+        for other in others:
+            for way, cut in zip(((addr, other), (other, addr)), ways, strict=True):
+                if cut:
+                    since, until = self.shut.get(way, (self.now, 0.0))
+                    self.shut[way] = (since if until > self.now else self.now, max(until, self.now + span))
+        machine = self.fleet[addr]
+        machine.back_at = max(machine.back_at, self.now + span + SYNC)
+
+    def lost(self) -> set[str]:
+        """The machines of the fleet that count as lost."""
+        return {addr for addr, machine in self.fleet.items()
+                if addr not in self.hosts or self.hosts[addr].inbox is not None
+                or self.now < max(machine.back_at, self.dark_until)} | self.gone
+
+    def may_lose(self) -> list[str]:
+        """Machines of which one may be lost now."""
+        lost = self.lost()
+        return sorted(self.fleet.keys() - lost) if len(lost) < self.survive else []
+
+    # Links
+
+    def _open(self, way: tuple[str, str]) -> bool:
+        since, until = self.shut.get(way, (0.0, 0.0))
+        if since <= self.now < until:
+            return False
+        since, until = self.shut.get(way[::-1], (0.0, 0.0))
+        return not since + STALLED <= self.now < until
+
+    def send(self, host: Host, addr: str, message: Any) -> None:
+        if not host.alive:
+            return
+        if addr == host.addr:
+            self.after(0.0, self._own, host, message)
+            return
+        way = (host.addr, addr)
+        if way in self.broken or not self._open(way) or addr not in self.hosts:
+            self.broken.add(way)
+            return
+        delay = self.rng.uniform(0.0005, 0.004) + (self.rng.uniform(0.0, 0.3) if self.rng.random() < self.late
+                                                  else 0.0)
+        at = self.arrives[way] = max(self.arrives.get(way, 0.0), self.now + delay)
+        self.after(at - self.now, self._arrive, host, self.hosts[addr], message)
+
+    def _own(self, host: Host, message: Any) -> None:
+        if host.alive:
+            host.take(host.addr, message)
+
+    def _arrive(self, sender: Host, host: Host, message: Any) -> None:
+        way = (sender.addr, host.addr)
+        if not host.alive or not self._open(way):
+            self.broken.add(way)
+        elif way not in self.broken or sender.alive:
+            host.take(sender.addr, message)
+
+    def _mend_links(self, host: Host) -> None:
+        """Dial again where a link has ended; what was sent meanwhile is lost."""
+        for other in self.fleet:
+            way = (host.addr, other)
+            if way in self.broken and other in self.hosts and self._open(way) and self._open(way[::-1]):
+                if self.rng.random() < 0.3:
+                    self.broken.discard(way)
+                    now = host.machine.clock()
+                    host.peers.ping(now, other)
+                    self.send(host, other, host.repair.offer(now))
+
+    # What is acknowledged
+
+    def acknowledged(self, host: Host, ident: str, rank: int = 0, epoch: int = 0) -> None:
+        """A registry has acknowledged a server's word (`rank`), or an operator's (`epoch`)."""
+        voters, word = host.node.voters, Promise(rank, epoch)
+        # A voter whose disk is lost may have confirmed it with that disk.
+        there = [machine for voter in voters if (machine := self.fleet.get(voter.addr)) is not None
+                 and machine.log.content.id == voter.id]
+        disks = [machine.addr for machine in there if machine.has(ident, word)]
+        if 2 * (len(disks) + len(voters) - len(there)) <= len(voters):
+            raise Violation(f"{host.addr} acknowledges of {ident} what only {disks} of {len(voters)} voters "
+                            f"have on disk")
+        promise = self.promises.setdefault(ident, Promise())
+        if rank > promise.rank or epoch > promise.epoch:
+            promise.rank, promise.epoch = max(rank, promise.rank), max(epoch, promise.epoch)
+            promise.at = self.now
+            self.outcomes["acknowledged"] += 1
+            self.moment()
+        promise.till = self.now + TRACKED
+
+    # The next loss
+
+    def moment(self) -> None:
+        """Something has just happened after which a loss is at its worst."""
+        if self.strikes and self.rng.random() < 0.35:
+            self.after(self.rng.choice((0.0, 0.001, 0.003, 0.01, 0.05, 0.3, SYNC, SYNC + 0.5)), self.strike)
+
+    def strike(self) -> None:
+        """Lose one machine more, if that is allowed."""
+        able, rng = self.may_lose(), self.rng
+        if self.strikes and self.torn and self.now >= self.dark_until and rng.random() < 0.5:
+            return self.tear()
+        if not self.strikes or not able:
+            return
+        addr = rng.choice(able)
+        span = rng.choice((0.1, 0.5, 1.5, 4.0, 8.0))
+        kind = rng.choice(("crash", "wipe", "replace", "cut", "one way", "one other", "freeze"))
+        self.outcomes[kind] += 1
+        if kind == "freeze":
+            return self.freeze(addr, span)
+        if kind in ("cut", "one way", "one other"):
+            others = [other for other in self.fleet if other != addr]
+            if kind == "one other":
+                others = rng.sample(others, rng.choice((1, 1, 2)))
+            ways = rng.choice(((True, False), (False, True))) if kind == "one way" else (True, True)
+            return self.cut(addr, others, span, ways)
+        self.crash(addr, kind != "crash")
+        if kind == "replace":
+            self._replace(addr, span)
+        else:
+            self.after(span, self.start, addr)
+
+    def _replace(self, addr: str, span: float) -> None:
+        """A machine is lost for good, and another one comes in its place."""
+        self.gone.add(addr)
+        del self.fleet[addr]
+        self.after(span, self._newcomer)
+
+    def _newcomer(self) -> str:
+        addr = f"10.9.0.{self.rng.randrange(10, 250)}:8407"
+        while addr in self.fleet or addr in self.gone:
+            addr = f"10.9.0.{self.rng.randrange(10, 250)}:8407"
+        self.fleet[addr] = Machine(self, addr)
+        self.start(addr)
+        return addr
+
+    def retire_voter(self) -> None:
+        """A planned replacement: the successor comes first, then the other one leaves and ends."""
+        able = self.may_lose()
+        if not able:
+            return
+        self.outcomes["planned"] += 1
+        addr = self.rng.choice(able)
+        self._newcomer()
+        self.after(self.rng.choice((0.0, 0.5, SYNC)), self._leave, addr, self.now + 20.0)
+
+    def _leave(self, addr: str, until: float) -> None:
+        host = self.hosts.get(addr)
+        if host is None:
+            return
+        host.machine.voting = host.node.voting = False
+        if all(voter.addr != addr for voter in self.voters):
+            self.crash(addr)
+            del self.fleet[addr]
+        elif self.now < until:
+            self.after(0.1, self._leave, addr, until)
+        else:   # nobody has taken its place
+            host.machine.voting = host.node.voting = True
+
+    def tear(self) -> None:
+        """Links break so that the machines fall into two parts, some also within these."""
+        self.outcomes["torn"] += 1
+        addrs, rng, span = sorted(self.fleet), self.rng, self.rng.choice((1.0, 3.0, 6.0))
+        one = set(rng.sample(addrs, rng.randint(1, len(addrs) - 1)))
+        for addr in one:
+            self.cut(addr, [other for other in addrs if other not in one], span, (True, True))
+        for _ in range(rng.choice((0, 0, 2))):
+            self.cut(*(lambda pair: (pair[0], pair[1:]))(rng.sample(addrs, 2)), span, (True, True))
+        self.dark_until = self.now + span + SYNC
+
+    def power_loss(self) -> None:
+        """All lose power at once."""
+        self.outcomes["power"] += 1
+        for addr in list(self.fleet):
+            self.crash(addr)
+            self.after(self.rng.uniform(0.1, 1.0), self.start, addr)
+        self.dark_until = self.now + 1.0 + SYNC
+
+    # What must hold
+
+    def learned(self, host: Host) -> None:
+        """A node may know more of the log now."""
+        if host.node.last > self.last:
+            voters = list(host.node.voters)
+            self.last = host.node.last
+            if voters != self.voters:
+                for voter in voters:
+                    if voter not in self.voters:
+                        self.let_in[voter.id] = self.now, max(self.fences, default=0)
+                self.voters = voters
+                self.outcomes["changes of voters"] += 1
+                self.gone &= {voter.addr for voter in voters}
+                self.moment()
+
+    def counts(self, host: Host) -> None:
+        """A newcomer counts from now on."""
+        self.outcomes["newcomers"] += 1
+        at, fence = self.let_in.get(host.node.me.id, (0.0, 0))
+        if host.handover.alone:
+            self.outcomes["newcomers untaught"] += 1
+            return
+        if host.duties.fences()[KEY] < fence:
+            raise Violation(f"{host.addr} counts, and does not know fence {fence}")
+        for ident, promise in self.promises.items():
+            if promise.at < at and self.now < promise.till and not _has(
+                    host.register.get(ident, host.machine.clock()), promise):
+                raise Violation(f"{host.addr} counts, and does not know what was acknowledged of {ident}")
+
+    def look_at(self, host: Host) -> None:
+        """After each message: whether it took the duty."""
+        fence = host.duties.holds(KEY, host.machine.clock())
+        if fence == host.fence:
+            return
+        host.fence = fence
+        if fence is None:
+            return
+        others = [other.addr for other in self.hosts.values() if other is not host
+                  and other.duties.holds(KEY, other.machine.clock()) is not None]
+        if others:
+            raise Violation(f"{host.addr} takes the duty that {others[0]} holds")
+        if fence in self.fences:
+            return
+        if self.fences and fence < self.fences[-1]:
+            raise Violation(f"{host.addr} takes the duty under fence {fence} after {self.fences[-1]}")
+        self.fences.append(fence)
+        self.outcomes["hands"] += 1
+        self.moment()
+
+    def _check(self) -> None:
+        self.after(LOOK, self._check)
+        holding = [host.addr for host in self.hosts.values()
+                   if host.duties.holds(KEY, host.machine.clock()) is not None]
+        if len(holding) > 1:
+            raise Violation(f"{' and '.join(holding)} hold the duty")
+        lost = self.lost()
+        spare = self.survive - len(lost)
+        for ident, promise in self.promises.items():
+            if self.now < promise.till:
+                if spare >= 0:
+                    self._copies(ident, promise, lost, spare)
+                self._usable(ident, promise)
+
+    def _copies(self, ident: str, promise: Promise, lost: set[str], spare: int) -> None:
+        there = [self.hosts[voter.addr] for voter in self.voters
+                 if voter.addr not in lost and voter.addr in self.hosts
+                 and self.hosts[voter.addr].node.me == voter]
+        holders = [host.addr for host in there
+                   if _has(host.register.get(ident, host.machine.clock()), promise)]
+        if len(holders) <= spare:
+            raise Violation(f"{spare} more may be lost, and of {len(there)} voters not lost only {holders} "
+                            f"know what was acknowledged of {ident}")
+        disks = [host.addr for host in there if host.machine.has(ident, promise)]
+        if len(disks) <= spare:
+            raise Violation(f"{spare} more may be lost, and of {len(there)} voters not lost only {disks} "
+                            f"have on disk what was acknowledged of {ident}")
+
+    def _usable(self, ident: str, promise: Promise) -> None:
+        if self.now < self.dark_until:
+            return
+        for host in self.hosts.values():
+            if host.inbox is None and host.touch_since is not None and (
+                    self.now - max(host.touch_since, promise.at) >= TOLD):
+                record = host.register.get(ident, host.machine.clock())
+                if record is not None and record.usable and not _has(record, promise):
+                    raise Violation(f"{host.addr} calls {ident} usable, {self.now - promise.at:.1f} s after "
+                                    f"it was acknowledged that it leaves")
+
+
+def _has(record: Record | None, promise: Promise) -> bool:
+    return record is not None and PHASES[record.phase] >= promise.rank and (
+        record.retired >= promise.epoch or record.phase == "gone")
+
+
+class Server:
+    """A server that reports, drains and leaves."""
+
+    def __init__(self, world: World, ident: str) -> None:
+        self.world, self.ident, self.seq, self.phase = world, ident, 0, "up"
+        self.said = False
+        world.after(0.0, self.beat)
+
+    def beat(self) -> None:
+        world, rng = self.world, self.world.rng
+        if self.phase == "over":
+            return
+        self.seq += 1
+        able = [host for host in world.hosts.values() if host.inbox is None]
+        if able:
+            host, phase = rng.choice(able), self.phase
+            call = Call(b"", partial(self.answered, host, phase))
+            if phase == "gone":
+                host.call(lambda call, now: host.reports.leave(call, self.ident, now), call)
+            else:
+                report = Beat("s", f"10.99.0.1:{9000 + int(self.ident)}", "z", "v", 2, phase, self.seq, 0)
+                host.call(lambda call, now: host.reports.beat(call, self.ident, report, now), call)
+        world.after(BEAT if self.phase != "gone" else 0.3, self.beat)
+
+    def answered(self, host: Host, phase: str, status: int) -> None:
+        if status == 200 and phase != "up":
+            self.world.acknowledged(host, self.ident, PHASES[phase])
+            if phase == "gone":
+                self.phase = "over"
+
+
+class _Schedule:
+    """One random schedule: `steps` acts of servers, operators and fate, each with a wait behind it."""
+
+    def __init__(self, seed: int, steps: int, parts: Parts, size: tuple[int, int] | None = None) -> None:
+        voters, survive = size or SIZES[seed % len(SIZES)]
+        self.steps = steps
+        self.world = World(seed, voters, survive, parts)
+        self.count = 0
+
+    def play(self) -> None:
+        """Play it to its end; raises Violation."""
+        world, rng = self.world, self.world.rng
+        world.late = rng.choice((0.0, 0.01, 0.05))
+        for _ in range(4):
+            self._join()
+        world.run_until(3.0)
+        for _ in range(self.steps):
+            rng.choice(self._ACTS)(self)
+            world.run_until(world.now + rng.choice((0.002, 0.02, 0.1, 0.4, 1.0, 2.0)))
+        world.strikes = False
+        world.run_until(world.now + 12.0)
+        if not any(host.duties.holds(KEY, host.machine.clock()) is not None for host in world.hosts.values()):
+            raise Violation("nobody holds the duty in calm times")
+        if missing := [voter.addr for voter in world.voters if voter.addr not in world.hosts]:
+            raise Violation(f"{', '.join(missing)} still vote and are gone")
+
+    def _server(self) -> Server | None:
+        servers = [one for _, one in sorted(self.world.servers.items()) if one.phase in ("up", "draining")]
+        return self.world.rng.choice(servers) if servers else None
+
+    def _join(self) -> None:
+        self.count += 1
+        self.world.servers[str(self.count)] = Server(self.world, str(self.count))
+
+    def _drain(self) -> None:
+        if (server := self._server()) is not None:
+            server.phase = "draining"
+            self._join()
+
+    def _end(self) -> None:
+        """A server ends without a word, or with one."""
+        if (server := self._server()) is not None:
+            server.phase = self.world.rng.choice(("gone", "gone", "over"))
+            self._join()
+
+    def _retire(self) -> None:
+        world, server = self.world, self._server()
+        able = [host for host in world.hosts.values() if host.inbox is None]
+        if server is None or not able:
+            return
+        host = world.rng.choice(able)
+        if server.ident not in host.register:
+            return
+        undo = world.rng.random() < 0.3
+        body, epoch = msgspec.json.encode({"id": server.ident, "undo": undo, "force": True}), []
+        host.call(host.retirements.call, Call(body, partial(self._retired, host, server.ident, epoch)))
+        # What was written for this call. A majority has it, or what came on top, once it is answered.
+        if (record := host.register.get(server.ident, host.machine.clock())) is not None:
+            epoch.append(record.retired)
+
+    def _retired(self, host: Host, ident: str, epoch: list[int], status: int) -> None:
+        if status == 200 and epoch and epoch[0]:
+            self.world.acknowledged(host, ident, epoch=epoch[0])
+
+    def _strike(self) -> None:
+        self.world.strike()
+
+    def _planned(self) -> None:
+        self.world.retire_voter()
+
+    def _power(self) -> None:
+        if not self.world.lost():
+            self.world.power_loss()
+
+    _ACTS = (_join, _drain, _drain, _end, _retire, _retire, _strike, _strike, _strike, _strike, _planned,
+             _power)
+
+
+def run(seeds: Iterable[int], steps: int = STEPS, parts: Parts | None = None,
+        size: tuple[int, int] | None = None) -> Report:
+    """Play one schedule of `steps` acts for each seed; `size`: voters, and losses at once (None: by it)."""
+    report = Report()
+    play(seeds, lambda seed: _Schedule(seed, steps, parts or Parts(), size), report)
+    return report
+
+
+# The code without one of its guards.
+
+
+class _JoinsEmpty(Handover):
+    def __init__(self, me: str, known: bool) -> None:
+        super().__init__(me, True)
+
+    def seat(self, voters: Any, now: float) -> None:
+        self._voters = dict(voters)
+
+
+class _LearnsOnce(Handover):
+    def seat(self, voters: Any, now: float) -> None:
+        ready = self.ready
+        super().seat(voters, now)
+        if ready and self.learning:
+            self.ready = self.counts = True
+
+
+class _AnswersBehind(Handover):
+    def answer(self, learn: Learn, register: Register, fences: dict[str, int], slot: int, since: int,
+               now: float) -> Learned | None:
+        return super().answer(learn, register, fences, learn.since, learn.slot, now)
+
+
+class _AnswersUntaught(Handover):
+    def answer(self, learn: Learn, *args: Any) -> Learned | None:
+        counts, self.counts = self.counts, True
+        told = super().answer(learn, *args)
+        self.counts = counts
+        return told
+
+
+class _GoesByAddress(quorum.Pending):
+    def confirmed(self, voter: str, ident: str, phase: str, retired: int = 0, by: str = "") -> list:
+        return super().confirmed(voter, ident, phase, retired)
+
+
+class _KeepsVoters(quorum.Pending):
+    def seat(self, voters: Any, slot: int) -> None:
+        kept = [(entry, entry.voters) for entry in self._waiting.values()]
+        super().seat(voters, slot)
+        for entry, before in kept:
+            entry.voters = before
+
+
+class _CountsItself(quorum.Pending):
+    def begin(self, ticket: Any, *args: Any) -> list[tuple[str, quorum.Hold]]:
+        out = super().begin(ticket, *args)
+        self._waiting[ticket].holders[self.me] = ""
+        return out
+
+
+class _CountsFewer(quorum.Pending):
+    def begin(self, ticket: Any, *args: Any) -> list[tuple[str, quorum.Hold]]:
+        out = super().begin(ticket, *args)
+        entry = self._waiting[ticket]
+        entry.holders[max(entry.voters)] = ""
+        return out
+
+
+class _ConfirmsToAll(Retirements):
+    def hold(self, addr: str, hold: quorum.Hold, now: float) -> None:
+        super().hold(addr, quorum.Hold(hold.record), now)
+
+
+class _ConfirmsFromMemory(Retirements):
+    def _keep(self, record: Record, then: Callable[[], None]) -> None:
+        super()._keep(record, lambda: None)
+        then()
+
+
+class _ForgetsEpochs(Retirements):
+    def _keeps(self, record: Record) -> bool:
+        return self.kept.get(record.id, (-1, 0))[0] >= PHASES[record.phase]
+
+
+class _GrantsBeforeDisk(Loans):
+    def _carry(self, out: duties.Outbox) -> None:
+        self.peers.post_all(out)
+        super()._carry([])
+
+
+class _NotesNoFence(Duties):
+    def take_unsaved(self) -> dict[str, str]:
+        return {key: note.partition(" ")[0] for key, note in super().take_unsaved().items()}
+
+
+class _LearnsNoFence(Duties):
+    def learn(self, fences: dict[str, int]) -> None:
+        pass
+
+
+class _TellsNoFence(Duties):
+    def _on_seek(self, sender: str, seek: duties.Seek, now: float) -> duties.Outbox:
+        return [(to, msgspec.structs.replace(message, seen=0) if isinstance(message, duties.Granted)
+                 else message) for to, message in super()._on_seek(sender, seek, now)]
+
+
+class _NotSilent(Duties):
+    def seat(self, *args: Any) -> None:
+        silent = self._silent_until
+        super().seat(*args)
+        self._silent_until = silent
+
+
+class _GrantsWhileChanging(Duties):
+    def seat(self, voters: frozenset[str], now: float, slot: int = -1, since: int = -1,
+             changing: bool = False) -> None:
+        super().seat(voters, now, slot, since)
+
+
+class _GrantsToThoseBehind(Duties):
+    def seat(self, voters: frozenset[str], now: float, slot: int = -1, since: int = -1,
+             changing: bool = False) -> None:
+        super().seat(voters, now, slot, -1, changing)
+
+
+class _GrantsWithoutVote(Duties):
+    def _may_not_grant(self, seek: duties.Seek) -> bool:
+        return self.learning or self._changing or 0 <= seek.slot < self._since
+
+
+class _GrantsUntaught(Duties):
+    def _may_not_grant(self, seek: duties.Seek) -> bool:
+        self.learning = False
+        return super()._may_not_grant(seek)
+
+
+class _GrantsAtStart(Duties):
+    def __init__(self, *args: Any, remembered: dict[str, str] | None = None) -> None:
+        super().__init__(*args, remembered={} if remembered is None else remembered)
+
+
+class _GrantsToAll(Duties):
+    def _on_seek(self, sender: str, seek: duties.Seek, now: float) -> duties.Outbox:
+        self._votes[seek.key].until = float("-inf")
+        return super()._on_seek(sender, seek, now)
+
+
+def _mutant(guard: str, seed: int | None = None, why: str = "", steps: int = STEPS,
+            **parts: Any) -> Mutant:
+    return Mutant(guard, lambda seeds: run(seeds, steps, Parts(**parts)), seed, why)
+
+
+_LIVE = "while no more are lost than allowed, a majority that is well confirms within ms"
+_APART = ("two majorities with nobody in common take three or five voters parted in the moment of a change; "
+          "test_duties.SeatTest shows it")
+
+MUTANTS = (
+    _mutant("a majority that confirms", 0, pending=_CountsFewer),
+    _mutant("the disk before a confirmation", 0, retirements=_ConfirmsFromMemory),
+    _mutant("the disk before our own copy counts", 0, pending=_CountsItself),
+    _mutant("the operator's epoch in what is known to be on disk", 3, retirements=_ForgetsEpochs),
+    _mutant("the id in a confirmation: by address only", why=_LIVE, pending=_GoesByAddress),
+    _mutant("the new voters for what waits at a change", why=_LIVE, pending=_KeepsVoters),
+    _mutant("the refusal to confirm to those who may not know the voters", why=_LIVE,
+            retirements=_ConfirmsToAll),
+    _mutant("learning before it asks to be let in", 2, handover=_JoinsEmpty),
+    _mutant("learning once more when it is in", 167, handover=_LearnsOnce),
+    _mutant("the wait of a voter's answer for the change of voters", why=(
+        "takes an acknowledgement by the voters before within the ms of a change that one of them missed; "
+        "test_check_handover.LearningTest shows it"), handover=_AnswersBehind),
+    _mutant("silence of a newcomer that has not learned to other newcomers", why=(
+        "a majority of answers then lacks one voter that knows only while two newcomers learn at once"),
+        handover=_AnswersUntaught),
+    _mutant("one holder at a voter at a time", 1, duties=_GrantsToAll),
+    _mutant("the disk before a grant", why=(
+        "takes a voter that ends between a grant and its write and is back within the grant's term; "
+        "test_duties.GrantOnDiskTest shows it"), loans=_GrantsBeforeDisk),
+    _mutant("the fence in the note on disk", 1, duties=_NotesNoFence),
+    _mutant("the fences of a majority told to a newcomer", 1, duties=_LearnsNoFence),
+    _mutant("the fence in a grant", 1, duties=_TellsNoFence),
+    _mutant("silence of a newcomer for a term", why=_APART, duties=_NotSilent),
+    _mutant("silence while a change of voters is open", why=_APART, duties=_GrantsWhileChanging),
+    _mutant("refusal to askers who may not know the voters", why=_APART, duties=_GrantsToThoseBehind),
+    _mutant("refusal to grant without a vote", why=_APART, duties=_GrantsWithoutVote),
+    _mutant("refusal to grant before it has learned", why=(
+        "its silence for a term is longer, unless voters are lost meanwhile"), duties=_GrantsUntaught),
+    _mutant("silence after the loss of a disk", why=(
+        "who loses the disk draws a new id, and is silent as a newcomer before it votes"),
+        duties=_GrantsAtStart),
+)
--- a/folio/reference/model_check.py
+++ b/folio/reference/model_check.py
@@ -24,6 +24,7 @@
     "agreement": "folio.consensus.check",
     "lending": "folio.lending.check",
     "callers": "folio.stacks.check_callers",
+    "handover": "folio.accession.check_handover",
 }
 GROUPS = {"both": ("agreement", "lending"), "all": tuple(PARTS)}
 CHUNK = 8       # schedules that a process plays before it is given more
--- a/tests/folio/test_check_handover.py
+++ b/tests/folio/test_check_handover.py
@@ -1,14 +1,35 @@
-"""What a newcomer among the voters learns."""
+"""What a newcomer among the voters learns, and the model check of what a majority holds beside the log."""
 
 import unittest
 
+from folio.accession.check_handover import run
 from folio.accession.handover import AGAIN, MOST, Handover, Learn, Learned
 from folio.accession.register import Beat, Register
+from folio.reference import model_check
 
 OLD = {"a": "1", "b": "2", "c": "3"}    # ids by address
 NEW = {"a": "1", "b": "2", "n": "9"}    # the newcomer has taken the place of c
 
 
+class CheckTest(unittest.TestCase):
+    def test_no_schedule_breaks_what_must_hold(self):
+        report = run(range(10))
+        self.assertEqual(report.violations, [])
+        for what in ("acknowledged", "changes of voters", "newcomers", "hands", "replace", "wipe", "torn"):
+            self.assertGreater(report.outcomes[what], 0, what)
+
+    def test_a_seed_plays_the_same_each_time(self):
+        one, other = run([2], 8), run([2], 8)
+        self.assertEqual((one.events, one.outcomes), (other.events, other.outcomes))
+
+    def test_planted_faults_are_found(self):
+        found = model_check.known("handover")
+        self.assertGreaterEqual(len(found), 10)
+        for mutant, violations in found:
+            with self.subTest(without=mutant.guard):
+                self.assertEqual(len(violations), 1)
+
+
 class LearningTest(unittest.TestCase):
     def asked(self, handover, now, slot=5, since=0):
         return {addr: learn for addr, learn in handover.tick(now, slot, since)}
