--- a/folio/consensus/messages.py
+++ b/folio/consensus/messages.py
@@ -102,9 +102,13 @@
 
 
 class CatchUp(msgspec.Struct, tag="c.behind", array_like=True, frozen=True):
-    """Asks for what is chosen from `slot` on; 0 asks for a snapshot, as one who knows no voters."""
+    """Asks for what is chosen from `slot` on; 0 asks for a snapshot, as one who knows no voters.
+
+    `parts`: a large snapshot may come in parts, which former versions don't know.
+    """
 
     slot: Slot
+    parts: bool = False
 
 
 class Snapshot(msgspec.Struct, tag="c.snapshot", array_like=True, frozen=True):
@@ -142,9 +146,37 @@
     voter: Voter
 
 
+class SnapshotOffer(msgspec.Struct, tag="c.offer", array_like=True, frozen=True):
+    """The answer to CatchUp where the state is large: there is one, after slot `last` or a little before."""
+
+    last: Slot
+
+
+class PartRequest(msgspec.Struct, tag="c.fetch", array_like=True, frozen=True):
+    """Asks for `length` bytes from `offset` on of the sealed snapshot of this slot and digest.
+
+    With an empty digest, of any snapshot that is newer than `slot`.
+    """
+
+    slot: Slot
+    digest: bytes
+    offset: Slot
+    length: Slot
+
+
+class SnapshotPart(msgspec.Struct, tag="c.part", array_like=True, frozen=True):
+    """Bytes of a sealed snapshot of `size` bytes; `size` 0: it is not kept here (any more)."""
+
+    slot: Slot
+    digest: bytes
+    size: Slot
+    offset: Slot
+    data: bytes
+
+
 Message = (
     Prepare | Promise | Refuse | Accept | Accepted | Decided | Chosen | CatchUp | Snapshot
-    | QuorumRead | QuorumReadReply | JoinRequest | LeaveRequest
+    | QuorumRead | QuorumReadReply | JoinRequest | LeaveRequest | SnapshotOffer | PartRequest | SnapshotPart
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/folio/consensus/node.py
+++ b/folio/consensus/node.py
@@ -28,12 +28,15 @@
     LeaveRequest,
     Message,
     Nothing,
+    PartRequest,
     Prepare,
     Promise,
     QuorumRead,
     QuorumReadReply,
     Refuse,
     Snapshot,
+    SnapshotOffer,
+    SnapshotPart,
     Voter,
     Voters,
 )
@@ -54,6 +57,7 @@
     Vote,
     Voted,
 )
+from folio.consensus.transfer import Fetch, Sealed, Source, seal, unseal
 
 _HANDLERS = {
     Prepare: "_on_prepare",
@@ -69,6 +73,9 @@
     QuorumReadReply: "_on_quorum_read_reply",
     JoinRequest: "_on_join_request",
     LeaveRequest: "_on_leave_request",
+    SnapshotOffer: "_on_snapshot_offer",
+    PartRequest: "_on_part_request",
+    SnapshotPart: "_on_snapshot_part",
 }
 _UNJUDGED = object()
 _NEVER = float("inf")
@@ -95,6 +102,11 @@
 
     With `poll_all` the voters hear each other every `poll` seconds; without it the owner has to tell
     `Node.heard` of every voter more often than `replace_after`.
+
+    A state of more than `part` bytes travels sealed (zlib `level`) in parts of that size, `window` asked for
+    at a time; after `part_wait` without one another source is tried, after `give_up` another snapshot. What
+    is sent stays `hold` after it was last asked for. The log is kept for `keep` slots, and while it is
+    shorter than half of the state, up to `keep_most` slots and `keep_bytes`; it comes in runs of `run_bytes`.
     """
 
     resend: float = 0.12
@@ -112,7 +124,14 @@
     turn: float = 0.2
     keep: int = 64
     keep_bytes: int = 4 << 20
-    run_bytes: int = 1 << 20
+    keep_most: int = 1024
+    run_bytes: int = 32 << 10
+    part: int = 32 << 10
+    window: int = 2
+    part_wait: float = 1.0
+    give_up: float = 4.0
+    hold: float = 10.0
+    level: int = 1
 
 
 class _Pending:
@@ -155,6 +174,8 @@
     this machine wants to vote, `survive` how many machines may be lost at once.
     """
 
+    _fetch_type, _source_type = Fetch, Source
+
     def __init__(
         self,
         me: Voter,
@@ -204,7 +225,13 @@
         self._heard: dict[str, float] = {}
         self._joining: dict[str, tuple[Voter, float]] = {}
         self._leaving: dict[str, float] = {}
-        self._asked = -1.0
+        self._asked = ("", -1.0)
+        self._seen = 0              # the newest slot that anyone is known to know
+        self._bulk = 0              # bytes of the state, at the most
+        self._fresh_bytes = 0       # of the log since the saved state
+        self._source = self._source_type(self.timing.hold)
+        self.sources = [self._source]   # sealed states that the log has to lead on from, the owner's as well
+        self._fetch: Fetch | None = None
         self._poll_due = self._join_due = self._contact_due = 0.0
         self._turn: tuple[list[Voter], float] | None = None
         self._recover(durable)
@@ -214,6 +241,8 @@
         if saved is not None:
             self.machine.give(saved.state)
             self.last = self._saved_at = self.voters_since = saved.slot
+            self.last = self._saved_at = saved.slot
+            self._bulk = len(saved.state)
             self._first = saved.slot + 1
             self.voters = list(saved.voters)
             # Entries before the saved state only serve those who are a little behind.
@@ -262,9 +291,10 @@
         self._set_clock(now)
         self._heard[addr] = now
         out: list[Effect] = []
+        self._seen = max(self._seen, last)
         if last > self.last or not self.voters:
             self._ask(addr, out)
-        return out
+        return self._done(out)
 
     def failed(self, persist: Persist, now: float) -> None:
         """A Persist could not be written: what it held of chosen entries is written with the next one."""
@@ -291,8 +321,13 @@
             self._ask_for_seat(out)
             self._mind_voters(out)
         elif now >= self._contact_due:
-            self._contact_due = now + self.timing.join * self._jitter()
-            out += [Send(addr, CatchUp(0)) for addr in self.contacts if addr != self.me.addr]
+            # Who answers that it has a large state is then asked for it alone.
+            wait = self.timing.join if self._fetch is None else self.timing.part_wait
+            self._contact_due = now + wait * self._jitter()
+            out += [Send(addr, CatchUp(0, True)) for addr in self.contacts if addr != self.me.addr]
+        self._mind_fetch(out)
+        for source in self.sources:
+            source.expire(now)
         self._advance(out)
         return self._done(out)
 
@@ -339,6 +374,9 @@
             due.append(self._turn[1])
         if self.voters and self._seat_message() is not None:
             due.append(self._join_due)
+        if self._fetch is not None:
+            due.append(self._fetch.heard_at + self.timing.part_wait)
+        due += [source.due() for source in self.sources]
         self.next_tick = min(due)
         return out
 
@@ -500,6 +538,8 @@
         have = set(current.voters.values())
         short = Decided(current.slot, current.ballot)
         full = Chosen(current.slot, [current.entry], current.slot)
+        if _size(current.entry) > self.timing.run_bytes:
+            full = Chosen(current.slot, [], current.slot)   # they ask for it at their pace
         others = have | {voter.addr for voter in self.voters} | set(self.learners)
         for addr in sorted(others - {self.me.addr}):
             out.append(Send(addr, short if addr in have else full))
@@ -525,6 +565,7 @@
 
     def _may_vote(self, sender: str, slot: int, out: list[Effect]) -> bool:
         if not self.voters or slot > self.last + 1:
+            self._seen = max(self._seen, slot - 1)
             self._ask(sender, out)
             return False
         if slot <= self.last:
@@ -585,10 +626,13 @@
         self.last = slot
         self._floor = max(self._floor, slot)
         self._votes = {s: vote for s, vote in self._votes.items() if s > slot}
+        self._fresh_bytes += _size(entry)
         self.machine.apply(slot, entry)
         if isinstance(entry, Voters):
             self.voters = list(entry.voters)
             self.voters_since = slot
+        elif isinstance(entry, Change):
+            self._bulk = len(entry.body) + (0 if entry.whole else self._bulk)
 
     def _learn(self, entries: list[Entry], out: list[Effect]) -> None:
         """Apply the entries that follow on what is known, and answer those who asked for them."""
@@ -610,41 +654,114 @@
         self._turn = None
 
     def _compact(self) -> list[Record]:
-        """A saved state, once the log has grown enough since the last one."""
-        timing = self.timing
-        if self.last - self._saved_at < timing.keep // 2 and self._log_bytes <= timing.keep_bytes:
+        """A saved state, once the log has grown enough since the last one.
+
+        A large state is saved only when the log has grown by a quarter of it, so that what is written stays
+        in proportion to what has changed.
+        """
+        timing, since = self.timing, self.last - self._saved_at
+        short = since < timing.keep // 2 or (
+            self._fresh_bytes < self._bulk // 4 and since < timing.keep_most // 2)
+        if short and self._log_bytes <= timing.keep_bytes:
             return []
-        while self._first <= self.last and (
-            self.last - self._first >= timing.keep or self._log_bytes > timing.keep_bytes // 2
-        ):
+        while self._first <= self.last and self._may_cut():
             self._log_bytes -= _size(self._log.pop(self._first))
             self._first += 1
-        self._saved_at = self.last
+        self._saved_at, self._fresh_bytes = self.last, 0
         return [Saved(self.last, self._state(), self.voters, self._first)]
 
+    def _may_cut(self) -> bool:
+        """Whether the oldest entry of the log may go.
+
+        While a snapshot is being fetched from here, the log after it is what brings its receiver up to date.
+        """
+        timing, count = self.timing, self.last - self._first
+        if self._first > min(source.pinned() for source in self.sources):
+            return self._log_bytes > timing.keep_bytes or count >= 2 * timing.keep_most
+        return (
+            self._log_bytes > timing.keep_bytes // 2
+            or count >= timing.keep_most
+            or (count >= timing.keep and self._log_bytes > self._bulk // 2)
+        )
+
     def _state(self) -> bytes:
-        if self._blob is None or self._blob[0] != self.last:
-            self._blob = (self.last, self.machine.take())
-        return self._blob[1]
+        if self._blob is not None and self._blob[0] == self.last:
+            return self._blob[1]
+        state = self.machine.take()
+        self._bulk = len(state)
+        # Only a small one is kept: it is asked for by several at a time.
+        self._blob = (self.last, state) if len(state) <= self.timing.part else None
+        return state
+
+    def _large(self) -> bool:
+        """Whether the state is to go in parts; where little is reckoned, that may be wrong."""
+        if self._bulk <= 4 * self.timing.part:
+            self._state()
+        return self._bulk > self.timing.part
+
+    def _seal(self) -> Sealed:
+        snapshot = Snapshot(self.last, self._state(), self.voters)
+        return seal(snapshot, self.timing.level, self._clock)
+
+    @property
+    def first(self) -> int:
+        """The oldest slot of the log that is kept."""
+        return self._first
+
+    @property
+    def bulk(self) -> int:
+        """Bytes of the state, at the most."""
+        return self._bulk
+
+    def entries(self, slot: int) -> list[Entry] | None:
+        """What was chosen from `slot` on, as far as it is known here; None where that is no longer kept."""
+        if slot < self._first:
+            return None
+        return [self._log[at] for at in range(slot, self.last + 1)]
 
     def _ask(self, addr: str, out: list[Effect]) -> None:
-        if addr == self.me.addr or self._clock - self._asked < 0.03:
+        """Ask for what we lack, one at a time where it is much: each answer takes a while on a thin link."""
+        if addr == self.me.addr or self._fetch is not None:
             return
-        self._asked = self._clock
-        out.append(Send(addr, CatchUp(self.last + 1 if self.voters else 0)))
+        asked, at = self._asked
+        wait = 0.03 if addr != asked else 0.1
+        if self._seen - self.last > 8:
+            wait = self.timing.part_wait
+        if self._clock - at < wait:
+            return
+        self._asked = (addr, self._clock)
+        out.append(Send(addr, CatchUp(self.last + 1 if self.voters else 0, True)))
 
-    def _tell(self, addr: str, slot: int, out: list[Effect]) -> None:
-        if slot < self._first:
+    def _tell(self, addr: str, slot: int, out: list[Effect], asked: CatchUp | None = None) -> bool:
+        """Send what was chosen from `slot` on, or the state; whether it is now on its way.
+
+        Unasked, only what is small is sent: several may do so at once.
+        """
+        limit = self.timing.run_bytes if asked is not None else self.timing.run_bytes // 4
+        parts = asked is not None and asked.parts
+        if slot >= self._first and not self._log_outweighs(slot):
+            run: list[Entry] = []
+            size = 0
+            for at in range(slot, self.last + 1):
+                size += _size(self._log[at])
+                if size > limit and (run or parts or asked is None):
+                    break
+                run.append(self._log[at])
+            if run:
+                out.append(Send(addr, Chosen(slot, run, self.last)))
+                return True
+        if not self._large() or (asked is not None and not parts):
             out.append(Send(addr, Snapshot(self.last, self._state(), self.voters)))
-            return
-        run: list[Entry] = []
-        size = 0
-        for at in range(slot, self.last + 1):
-            size += _size(self._log[at])
-            if run and size > self.timing.run_bytes:
-                break
-            run.append(self._log[at])
-        out.append(Send(addr, Chosen(slot, run, self.last)))
+            return True
+        out.append(Send(addr, SnapshotOffer(self.last) if parts else Chosen(slot, [], self.last)))
+        return False
+
+    def _log_outweighs(self, slot: int) -> bool:
+        """Whether the state is shorter than the log that leads to it."""
+        bound = max(self._bulk, 4 * self.timing.run_bytes)
+        if self._log_bytes <= bound:
+            return False
+        return sum(_size(self._log[at]) for at in range(slot, self.last + 1)) > bound
 
     def _on_decided(self, sender: str, message: Decided, out: list[Effect]) -> None:
         if message.slot <= self.last:
@@ -656,6 +773,7 @@
             self._ask(sender, out)
 
     def _on_chosen(self, sender: str, message: Chosen, out: list[Effect]) -> None:
+        self._seen = max(self._seen, message.last)
         if not self.voters or message.slot > self.last + 1:
             self._ask(sender, out)
             return
@@ -664,22 +782,25 @@
                 raise ConsensusError(f"two entries chosen at slot {slot}")
         fresh = message.entries[self.last + 1 - message.slot :]
         if fresh:
-            self._asked = -1.0
+            if sender == self._asked[0]:
+                self._asked = ("", -1.0)    # this stream goes on; none is begun beside it
             self._learn(fresh, out)
+            if self._fetch is not None and (self._fetch.slot <= self.last or message.last > self.last):
+                self._fetch = None      # the log leads on from here, and faster
         if message.last > self.last:
             self._ask(sender, out)
 
     def _on_catch_up(self, sender: str, message: CatchUp, out: list[Effect]) -> None:
         if not self.voters:
             return
-        if message.slot == 0:
-            out.append(Send(sender, Snapshot(self.last, self._state(), self.voters)))
-        elif message.slot <= self.last:
-            self._tell(sender, message.slot, out)
+        told = True
+        if message.slot <= self.last:
+            told = self._tell(sender, message.slot, out, message)
         elif message.slot > self.last + 1:
+            self._seen = max(self._seen, message.slot - 1)
             self._ask(sender, out)
         current = self._round
-        if current is not None and message.slot <= self.last:
+        if current is not None and told and message.slot <= self.last:
             # A voter that could not vote yet is asked anew, behind what it lacked.
             out += [
                 Send(addr, current.message)
@@ -687,6 +808,89 @@
                 if addr == sender and voter not in current.got
             ]
 
+    def _on_snapshot_offer(self, sender: str, message: SnapshotOffer, out: list[Effect]) -> None:
+        self._seen = max(self._seen, message.last)
+        if self.voters and message.last <= self.last:
+            return
+        if self._fetch is None:
+            self._begin_fetch(sender, out)
+        else:
+            self._fetch.offers[sender] = self._clock
+
+    def _begin_fetch(self, source: str, out: list[Effect]) -> None:
+        timing = self.timing
+        newer = self.last if self.voters else 0
+        offers = self._fetch.offers if self._fetch is not None else {}
+        self._fetch = self._fetch_type(source, newer, timing.part, timing.window, self._clock)
+        self._fetch.offers = {**offers, **self._fetch.offers}
+        self._request(out)
+
+    def _request(self, out: list[Effect]) -> None:
+        out += [Send(self._fetch.source, request) for request in self._fetch.requests()]
+
+    def _on_part_request(self, sender: str, message: PartRequest, out: list[Effect]) -> None:
+        sealed = self._sealed_for(message) if self.voters else None
+        if sealed is None:
+            out.append(Send(sender, SnapshotPart(message.slot, message.digest, 0, message.offset, b"")))
+            return
+        end = message.offset + min(message.length, 2 * self.timing.part)
+        part = SnapshotPart(sealed.slot, sealed.digest, len(sealed.data), message.offset,
+                            sealed.data[message.offset : end])
+        out.append(Send(sender, part))
+
+    def _sealed_for(self, message: PartRequest) -> Sealed | None:
+        """The sealed snapshot that is asked for, if it is or can be made here."""
+        return self._source.sealed_for(message, self._first, self.last, self._seal, self._clock)
+
+    def _on_snapshot_part(self, sender: str, message: SnapshotPart, out: list[Effect]) -> None:
+        fetch = self._fetch
+        if fetch is None:
+            return
+        if not message.size:
+            if sender == fetch.source and message.digest == fetch.digest:
+                self._source_lacks(sender, out)
+            return
+        if not fetch.take(message, self._clock):
+            return
+        data = fetch.whole()
+        if data is None:
+            self._request(out)
+            return
+        self._fetch = None
+        if not fetch.sound(data):
+            self.failures += 1
+            return      # to be begun anew with the next offer
+        self._on_snapshot(sender, unseal(data), out)
+        self._ask(fetch.source, out)
+
+    def _source_lacks(self, sender: str, out: list[Effect]) -> None:
+        """A source no longer has what we fetch: another may, else we begin anew."""
+        fetch = self._fetch
+        fetch.lacking.add(sender)
+        if set(fetch.offers) <= fetch.lacking:
+            if not fetch.digest:
+                self._fetch = None
+            else:
+                self._begin_fetch(max(fetch.offers, key=fetch.offers.__getitem__), out)
+            return
+        fetch.move(self._clock)
+        self._request(out)
+
+    def _mind_fetch(self, out: list[Effect]) -> None:
+        """Turn to another source when none of the parts has come for a while."""
+        fetch, timing = self._fetch, self.timing
+        if fetch is None or self._clock < fetch.heard_at + timing.part_wait:
+            return
+        stalled = self._clock - fetch.moved_at
+        other = fetch.other(self._clock, 2 * timing.part_wait)
+        if stalled >= timing.give_up and other is not None and other != fetch.source:
+            self._begin_fetch(other, out)
+        elif stalled >= 8 * timing.give_up:
+            self._fetch = None
+        else:
+            fetch.move(self._clock)
+            self._request(out)
+
     def _on_snapshot(self, sender: str, message: Snapshot, out: list[Effect]) -> None:
         if self.voters and message.slot <= self.last:
             return
@@ -695,11 +899,14 @@
         self._first = message.slot + 1
         self._log, self._log_bytes = {}, 0
         self._blob = None
+        self._bulk, self._fresh_bytes = len(message.state), 0
+        if self._fetch is not None and self._fetch.slot <= self.last:
+            self._fetch = None
         self._floor = max(self._floor, message.slot)
         self.voters = list(message.voters)
         self._votes = {slot: vote for slot, vote in self._votes.items() if slot > message.slot}
         self._moved()
-        self._asked = -1.0
+        self._asked = ("", -1.0)
         self._persist([Saved(self.last, message.state, self.voters, self._first)], [], out)
         out.append(Apply(self.last, None))
         # Whether an entry of ours was among those skipped cannot be seen from here.
@@ -730,7 +937,7 @@
         if others:
             everyone = at_start or (self.timing.poll_all and self.me in self.voters)
             asked = others if everyone else [self._rng.choice(others)]
-            out += [Send(addr, CatchUp(self.last + 1)) for addr in asked]
+            out += [Send(addr, CatchUp(self.last + 1, True)) for addr in asked]
 
     def _seat_message(self) -> JoinRequest | LeaveRequest | None:
         """What to say to the voters while we vote though we should not, or the other way round.
@@ -752,6 +959,7 @@
         out += [Send(voter.addr, message) for voter in self.voters if voter.addr != self.me.addr]
 
     def _on_join_request(self, sender: str, message: JoinRequest, out: list[Effect]) -> None:
+        self._seen = max(self._seen, message.slot)
         if self.voters and message.slot < self.last:
             self._tell(sender, max(message.slot, 0) + 1, out)
         if self.voters and message.slot >= self.last - 4:
--- a/tests/folio/test_consensus.py
+++ b/tests/folio/test_consensus.py
@@ -319,7 +319,7 @@
         durable.chosen.clear()
         node = Node(Voter("a", "a"), durable, Ledger(), Random(2))
         effects = node.handle("b", wire.Prepare(1, Ballot(9, "b")), 1.0)
-        self.assertEqual([e.message for e in effects if isinstance(e, Send)], [wire.CatchUp(1)])
+        self.assertEqual([e.message for e in effects if isinstance(e, Send)], [wire.CatchUp(1, True)])
 
     def test_words_of_a_machine_under_another_name_do_not_count(self):
         node = self._node()
@@ -394,8 +394,11 @@
     wire.Accepted(1, BALLOT, "genesis/b"),
     wire.Decided(1, BALLOT),
     wire.Chosen(1, [wire.Nothing("t"), Voters("v", [Voter("a", "a")])], 2),
-    wire.CatchUp(1),
+    wire.CatchUp(1, True),
     wire.Snapshot(4, b"", [Voter("a", "b")]),
+    wire.SnapshotOffer(4),
+    wire.PartRequest(4, b"digest", 32, 16),
+    wire.SnapshotPart(4, b"digest", 40, 32, b"12345678"),
     wire.QuorumRead(1, 7),
     wire.QuorumReadReply(1, 7, "genesis/b", True),
     wire.JoinRequest(Voter("x", "y"), 0),
