Desks: a large configuration in parts, and the steps that a desk lacks

Change: a desk at a known place gets the steps from there while the log is kept and shorter, 32 KiB a pulse; a large configuration is offered, and the desk asks for its parts, two at a time. It acts on it once it is whole and as its digest says, and goes on with what it has where another registry holds the same. Desks of the version before get it whole.

--- a/folio/circulation/follower.py
+++ b/folio/circulation/follower.py
@@ -11,6 +11,8 @@
 from folio.boot import Boot, BootError, address
 from folio.catalogue.routing import Table
 from folio.catalogue.structs import EMPTY, CatalogueError, Configuration
+from folio.consensus.messages import SnapshotOffer, SnapshotPart
+from folio.consensus.transfer import Fetch
 from folio.lending.shards import KEYS, duty_of
 from folio.lending.slices import Holdings
 from folio.transport import messages as m
@@ -25,6 +27,8 @@
 DRAW_TIMEOUT = 0.06     # s for an answer from the reserve: a request waits for it
 DRAW_BITS = 10      # of a draw's number below the life's microseconds: more draws than that take longer
 CONNECT = 0.5       # s for a connection to come up
+PART, WINDOW = 32 << 10, 2  # bytes of a part of a large configuration; parts asked for at a time
+PART_WAIT = 3.0     # s without a part after which it is asked for again
 
 
 class Follower:
@@ -42,6 +46,7 @@
         self.config: Configuration = EMPTY
         self.table: Table | None = None
         self.slot = -1
+        self.fetch: Fetch | None = None     # a large configuration on its way, which outlives a session
         self.register, self.place = "", 0
         self.memory = Memory()
         self.known: dict[str, float] = {}   # registries, by when they may be tried again
@@ -91,6 +96,10 @@
                     and any(at <= now for addr, at in self.known.items() if addr != self.at)):
                 # Where all say so, we stay a while longer with each.
                 self._leave("alone", ALONE_AGAIN)
+        if self.fetch is not None and self.link is not None and now - self.fetch.heard_at > PART_WAIT:
+            self.fetch.asked.clear()
+            self.fetch.heard_at = now
+            self._ask_parts()
         if self.link is None and not self.dialling and not self.stopping:
             self.dialling = True
             self.loop.create_task(self._dial(now))
@@ -136,7 +145,7 @@
             self.hop += 1
             self.told_slot = -1
             link.send(m.Open(self.boot.hostname, self.life, self.hop, self.boot.az, self.slot, self.register,
-                             self.place))
+                             self.place, True))
             self._send_report(clock.monotonic())    # others may wait for it, to be lent what is not ours
         except (OSError, TimeoutError):
             self._in_vain(addr, 0.4)
@@ -174,6 +183,10 @@
             self._state(message)
         elif kind is m.Step:
             self._step(message)
+        elif kind is SnapshotOffer:
+            self._offered(message, now)
+        elif kind is SnapshotPart:
+            self._part(message, now)
         elif kind is m.Slice:
             holdings = self._holdings(message.key)
             had = holdings.left(now) > 0.0
@@ -202,6 +215,48 @@
             config = EMPTY
         self._take(message.slot, config)
 
+    def _offered(self, message: SnapshotOffer, now: float) -> None:
+        """The registry's configuration is large: fetch it, or go on with one that another began to send."""
+        if message.last <= self.slot:
+            return self.link.send(m.Following(self.slot))
+        if self.fetch is None:
+            self._fetch_anew(now)
+        else:
+            self.fetch.asked.clear()
+            self.fetch.heard_at = now
+            self._ask_parts()
+
+    def _fetch_anew(self, now: float) -> None:
+        self.fetch = Fetch(self.at, max(self.slot, 0), PART, WINDOW, now)
+        self._ask_parts()
+
+    def _ask_parts(self) -> None:
+        if requests := self.fetch.requests():
+            self.link.send(*requests)
+
+    def _part(self, message: SnapshotPart, now: float) -> None:
+        fetch = self.fetch
+        if fetch is None:
+            return
+        if not message.size:
+            if message.digest != fetch.digest:
+                return
+            if fetch.digest:
+                return self._fetch_anew(now)
+            self.fetch = None       # it has nothing newer than we have
+            return self.link.send(m.Following(self.slot))
+        if not fetch.take(message, now):
+            return
+        if (body := fetch.whole()) is None:
+            return self._ask_parts()
+        self.fetch = None
+        if fetch.sound(body):
+            logs.say("state_fetched", slot=fetch.slot, bytes=fetch.size, seconds=round(now - fetch.began, 1))
+            self._state(m.State(fetch.slot, body))
+        else:
+            logs.say("state_unsound", slot=fetch.slot, bytes=fetch.size)
+        self.link.send(m.Following(self.slot))
+
     def _step(self, message: m.Step) -> None:
         if message.slot <= self.slot:
             return      # said twice
@@ -218,6 +273,8 @@
 
     def _take(self, slot: int, config: Configuration) -> None:
         self.slot = slot
+        if self.fetch is not None and self.fetch.slot <= slot:
+            self.fetch = None
         if config is not self.config and config.ver:
             self.config = config
             self.table = Table(config, self.table)
--- a/folio/registry/daemon.py
+++ b/folio/registry/daemon.py
@@ -120,6 +120,7 @@
         self._of_desks = {
             m.Report: self._reported, m.Draw: self.loans.draw, m.Ill: self.desks.complaint,
             m.Leaving: self.retirements.counted, m.Bye: self.desks.bye,
+            consensus.PartRequest: self.desks.part_asked, m.Following: self.desks.following,
         }
         self._due_at = {"ping": 0.0, "tell": 0.0, "repair": 0.0, "save": now + SAVE}
         self._quiet = QUIET * boots.seconds(boot.hb, "hb")  # s
--- a/folio/registry/desks.py
+++ b/folio/registry/desks.py
@@ -9,6 +9,7 @@
 from folio.catalogue.structs import version_text
 from folio.consensus import messages as consensus
 from folio.consensus.records import Apply
+from folio.consensus.transfer import Sealed, Source, sealed
 from folio.lending.slices import Known
 from folio.membership.ills import Ills
 from folio.membership.sessions import Roll
@@ -21,19 +22,25 @@
 
 SEEN = 120.0    # s for which it is known when a desk was last a member
 LEASED = 9.0    # s after it was last a member that a desk may still hold a lease
+PART = 32 << 10     # bytes of a configuration, packed, from which on it goes in parts; and of steps at a time
+LITTLE = 4 << 10    # bytes of steps that are sent rather than any configuration
+HOLD = 10.0     # s after it was last asked for that a large configuration is kept as it was sent
 
 
 class Session:
     """A desk's session here.
 
     `slot` is the place in the log, `place` the place in the register up to which the desk was told.
+    `parts`: the desk knows how to fetch a configuration; `fetches`: it does, and is told no steps until it
+    has it; `late`: it is told those that it lacks a few at a time.
     """
 
-    __slots__ = ("link", "desk", "life", "hop", "place", "slot")
+    __slots__ = ("link", "desk", "life", "hop", "place", "slot", "parts", "fetches", "late")
 
-    def __init__(self, link: Link, desk: str, life: int, hop: int) -> None:
-        self.link, self.desk, self.life, self.hop = link, desk, life, hop
+    def __init__(self, link: Link, desk: str, life: int, hop: int, parts: bool = False) -> None:
+        self.link, self.desk, self.life, self.hop, self.parts = link, desk, life, hop, parts
         self.place, self.slot = -1, -1
+        self.fetches = self.late = False
 
 
 class Desks:
@@ -47,6 +54,9 @@
         self.register, self.roll, self.machine, self.peers = register, roll, machine, peers
         self.node = peers.node
         self.sessions: dict[str, Session] = {}
+        self.source = Source(HOLD)
+        self.node.sources.append(self.source)
+        self._packed: tuple[int, bytes] = (-1, b"")     # a slot, and what is small after it
         self.borrowers = Known(kept, whole, now, LEASED)
         self.seen = dict.fromkeys(kept, now)    # when each was last a member, for SEEN seconds
         self._kept = kept       # those of them that are on disk
@@ -63,7 +73,8 @@
         """Begin a session, in place of any that the desk had here, and bring the desk up to date."""
         link.peer = message.desk
         old = self.sessions.get(message.desk)
-        session = self.sessions[message.desk] = Session(link, message.desk, message.life, message.hop)
+        session = self.sessions[message.desk] = Session(
+            link, message.desk, message.life, message.hop, message.parts)
         if old is not None:
             old.link.close()
         self.roll.opened(message.desk, str(message.life), now, message.hop, message.az)
@@ -122,27 +133,73 @@
         entry = applied.entry
         if isinstance(entry, consensus.Change):
             logs.say("applied", slot=applied.slot, ver=version_text(entry.ver))
-            step = m.Step(applied.slot, entry.whole, m.pack(entry.body))
         elif entry is None:
-            step = m.State(applied.slot, m.pack(self.machine.config.dump()))
             logs.say("state_taken", slot=applied.slot, ver=version_text(self.machine.config.ver))
-        else:
-            if isinstance(entry, consensus.Voters):
-                logs.say("voters", slot=applied.slot, voters=",".join(v.addr for v in entry.voters))
-            step = m.Step(applied.slot)
-        data = frame(step)
+        elif isinstance(entry, consensus.Voters):
+            logs.say("voters", slot=applied.slot, voters=",".join(v.addr for v in entry.voters))
+        data = b"" if entry is None else _step(applied.slot, entry)
         for session in self.sessions.values():
-            if entry is None or session.slot == applied.slot - 1:
+            if entry is not None and session.slot == applied.slot - 1 and not session.fetches and (
+                    len(data) <= PART or not session.parts):
                 session.link.write(data)
                 session.slot = applied.slot
-            else:
+            elif not session.late:
                 self._catch_up(session)
 
     def _catch_up(self, session: Session) -> None:
-        """Bring a desk from its place to ours: a snapshot, as it is one message."""
-        if session.slot < self.node.last:
+        """Bring a desk from its place to ours: by the log where that is kept and little, else by a state.
+
+        What is more than PART comes a little at a time, for the desk waits for pulses and slices behind it.
+        """
+        session.late = False
+        if session.fetches or session.slot >= self.node.last:
+            return
+        entries = self.node.entries(session.slot + 1)
+        if entries is not None and sum(map(_size, entries)) <= max(LITTLE, self.node.bulk // 4):
+            steps = [_step(slot, entry) for slot, entry in enumerate(entries, session.slot + 1)]
+            if max(map(len, steps)) <= PART or not session.parts:
+                return self._send_steps(session, steps)
+        if not session.parts or (small := self._small()) is not None:
+            body = m.pack(self.machine.config.dump()) if not session.parts else small
             session.slot = self.node.last
-            session.link.send(m.State(self.node.last, m.pack(self.machine.config.dump())))
+            return session.link.send(m.State(self.node.last, body))
+        session.fetches = True
+        session.link.send(consensus.SnapshotOffer(self.node.last))
+
+    def _send_steps(self, session: Session, steps: list[bytes]) -> None:
+        sent = 0
+        for step in steps:
+            if sent and sent + len(step) > PART:
+                session.late = True
+                return
+            session.link.write(step)
+            session.slot += 1
+            sent += len(step)
+
+    def _small(self) -> bytes | None:
+        """The configuration, packed, if it goes in one message."""
+        if self._packed[0] != self.node.last:
+            # A large one is not packed for this: a tenth of its size at the least is left.
+            large = self.node.bulk > 10 * PART
+            body = b"" if large else m.pack(self.machine.config.dump())
+            self._packed = (self.node.last, body if len(body) <= PART else b"")
+        return self._packed[1] or None
+
+    def _seal(self, now: float) -> Sealed:
+        return sealed(self.node.last, m.pack(self.machine.config.dump()), now)
+
+    def part_asked(self, session: Session, asked: consensus.PartRequest, now: float) -> None:
+        """A desk fetches a large configuration."""
+        kept = self.source.sealed_for(asked, self.node.first, self.node.last, lambda: self._seal(now), now)
+        if kept is None:
+            return session.link.send(consensus.SnapshotPart(asked.slot, asked.digest, 0, asked.offset, b""))
+        data = kept.data[asked.offset:asked.offset + min(asked.length, PART)]
+        session.link.send(consensus.SnapshotPart(kept.slot, kept.digest, len(kept.data), asked.offset, data))
+
+    def following(self, session: Session, told: m.Following, now: float) -> None:
+        """A desk has fetched a configuration, or given it up."""
+        session.fetches, session.slot = False, told.slot
+        self._catch_up(session)
 
     # Servers
 
@@ -206,6 +263,9 @@
         """A sign of life to each."""
         # One for all sessions: to count the members goes through all of them.
         self.tell(m.Pulse(self.roll.count(now), self.node.last, self.peers.current(now)))
+        for session in self.sessions.values():
+            if session.late:
+                self._catch_up(session)
 
     def tell(self, message: m.Message) -> None:
         """Send to each desk that has a session here."""
@@ -217,3 +277,13 @@
         """Send to one desk; it is lost where that has no session here."""
         if (session := self.sessions.get(desk)) is not None:
             session.link.send(message)
+
+
+def _step(slot: int, entry: consensus.Entry) -> bytes:
+    if isinstance(entry, consensus.Change):
+        return frame(m.Step(slot, entry.whole, m.pack(entry.body)))
+    return frame(m.Step(slot))
+
+
+def _size(entry: consensus.Entry) -> int:
+    return 20 + (len(entry.body) if isinstance(entry, consensus.Change) else 0)
--- a/folio/transport/messages.py
+++ b/folio/transport/messages.py
@@ -125,7 +125,10 @@
 
 
 class Open(Struct, tag="open"):
-    """A desk opens its session, and says up to where it knows the log and the register."""
+    """A desk opens its session, and says up to where it knows the log and the register.
+
+    `parts`: a large configuration may come in parts, which former versions don't know.
+    """
 
     desk: str
     life: int
@@ -134,6 +137,7 @@
     slot: int
     register: str
     place: int
+    parts: bool = False
 
 
 class Report(Struct, tag="report"):
@@ -153,6 +157,12 @@
     under_way: dict[str, int]
 
 
+class Following(Struct, tag="following"):
+    """A desk has the configuration after `slot` and follows the log from there; -1: it has none."""
+
+    slot: int
+
+
 class Bye(Struct, tag="bye"):
     """The desk stops."""
 
@@ -217,8 +227,8 @@
 
 Message = (consensus.Message | duties.Message | Hold | ReportHeld | DigestOffer | RangeRecords | SessionsTold
            | Hello | Ping | Rows | Heard | Ask | Lent | Open | Report | Bye | Welcome | State | Step | Servers
-           | Quiet | Pulse | Slice | Ill | Shun | Draw | Drawn | Watch | Watched | Count | Leaving | Learn
-           | Learned)
+           | Quiet | Pulse | Slice | Ill | Shun | Draw | Drawn | Watch | Watched | Count | Leaving
+           | Learn | Learned | Following)
 encode = msgspec.msgpack.Encoder().encode
 decode = msgspec.msgpack.Decoder(Message).decode
 
