Emulator: links with a rate, and a large configuration over thin ones

Cause: the emulator's links had no rate, so what a large state does to a thin link could only be reckoned.

--- a/folio/stacks/network.py
+++ b/folio/stacks/network.py
@@ -1,8 +1,8 @@
 """Links in memory: connections with delay, cuts, silence, resets and bounded windows.
 
-Bytes keep their order within a connection.  A cut or a machine without power is silent: what is sent waits,
-and is given up only by who set a time for it.  A process that ends closes its connections; who writes to one
-that is gone is reset.
+Bytes keep their order within a connection; where a link has a rate, those of all connections over it.
+A cut or a machine without power is silent: what is sent waits, and is given up only by who set a time for it.
+A process that ends closes its connections; who writes to one that is gone is reset.
 """
 
 from __future__ import annotations
@@ -20,6 +20,7 @@
 AGAIN = 0.2             # s, least until what a cut held up is sent again
 KNOCK = 1.0             # s until the opening of a connection is sent again; doubles
 HEAD = 60               # bytes that each packet has besides its data
+PACKET = 16 * 1024      # bytes that go over a link with a rate in one piece
 
 
 class SocketStub:
@@ -286,6 +287,9 @@
         self.waiting: dict[Transport, None] = {}
         self.doubted: dict[Transport, None] = {}
         self.bytes_between = 0
+        self.rate: Callable[[str, str], float | None] | None = None     # bytes/s from a to b; None: no bound
+        self.free: dict[tuple[str, str], float] = {}    # when a link with a rate has sent all it was given
+        self.carried: dict[tuple[str, str], int] = {}   # bytes over links with a rate
         self.opened = 0
         self.last_port = 20000
 
@@ -403,6 +407,18 @@
         sender.held.append((kind, data))
 
     def _deliver(self, sender: Transport, kind: str, data: bytes, after: float) -> None:
+        a, b = sender.process.ip, sender.peer.process.ip
+        rate = self.rate(a, b) if self.rate is not None else None
+        if rate is None:
+            return self._arrive(sender, kind, data, after)
+        for at in range(0, max(1, len(data)), PACKET):
+            piece = data[at:at + PACKET]
+            begin = max(self.world.now + after, self.free.get((a, b), 0.0))
+            self.free[a, b] = begin + (len(piece) + HEAD) / rate
+            self.carried[a, b] = self.carried.get((a, b), 0) + len(piece) + HEAD
+            self._arrive(sender, kind, piece, self.free[a, b] - self.world.now)
+
+    def _arrive(self, sender: Transport, kind: str, data: bytes, after: float) -> None:
         peer, world = sender.peer, self.world
         a, b = sender.process.ip, peer.process.ip
         if self.zone(a) != self.zone(b):
--- /dev/null
+++ b/tests/folio/test_large_states.py
@@ -0,0 +1,184 @@
+"""Large configurations over thin links: the daemons on the virtual clock, and what old versions still get."""
+
+import hashlib
+import random
+import unittest
+from unittest import mock
+
+import msgspec
+
+from folio.boot import Bind, Boot
+from folio.circulation.follower import Follower
+from folio.consensus import messages as wire
+from folio.consensus.check import Ledger, Order
+from folio.consensus.check_catchup import Padded
+from folio.consensus.messages import Snapshot, SnapshotOffer, SnapshotPart, Voter
+from folio.consensus.node import Node, Timing
+from folio.consensus.records import Durable, Saved, Send
+from folio.consensus.transfer import Fetch, Source, seal, sealed, unseal
+from folio.stacks.guise import worn
+from folio.stacks.thin import SEEDS, Thin, configuration
+from folio.transport import messages as m
+
+BODY = configuration(430, 1700, 23)     # 340 kB, packed 85
+
+
+def quiet(event, **fields):
+    """Logs of these are of no interest."""
+
+
+class Daemons(unittest.TestCase):
+    def test_an_empty_registry_and_an_empty_desk_get_it_while_changes_go_on(self):
+        thin = Thin(1, BODY, 0.5)
+        took = thin.measure()
+        for name, one in took.items():
+            self.assertIsNotNone(one.seconds, name)
+            self.assertLess(one.seconds, 3.0, name)
+            self.assertLess(one.bytes, 250_000, name)
+            self.assertLess(one.gap, 0.7, name)
+        self.assertEqual((took["desk"].left, thin.heard["State"], thin.world.failures), (0, 0, []))
+
+    def test_a_desk_that_comes_back_gets_the_steps_it_lacks(self):
+        thin = Thin(1, BODY, 0.2)
+        thin.measure()
+        with worn(thin.world, quiet):
+            for span in (0.5, 3.0):
+                thin.follower.link.close()
+                before, slot = thin.heard.copy(), thin.follower.slot
+                thin.run(span)
+                thin.world.run(thin.world.now + 1.0)
+                self.assertGreater(thin.follower.slot, slot)
+                self.assertEqual(thin.follower.config.ver, thin.ver)
+                for kind in ("State", "SnapshotOffer", "SnapshotPart"):
+                    self.assertEqual(thin.heard[kind], before[kind], kind)
+
+    def test_a_transfer_goes_on_with_another_registry_where_the_first_one_ends(self):
+        thin = Thin(2, configuration(1300, 5100, 70), 0.5)
+        with worn(thin.world, quiet):
+            thin.world.run(2.0)
+            thin.change()
+            thin.world.run(4.0)
+            thin.start_desk()
+            while not (thin.follower and thin.follower.fetch and len(thin.follower.fetch.parts) >= 4):
+                thin.world.run(thin.world.now + 0.05)
+            first, parts = thin.follower.at, thin.heard["SnapshotPart"]
+            ip = first.partition(":")[0]
+            thin.network.ended(thin.registries[ip].loop.process)
+            thin.world.run(thin.world.now + 6.0)
+        self.assertEqual(thin.follower.config.ver, 1)
+        self.assertNotEqual(thin.follower.at, first)
+        size = len(m.pack(thin.registries[next(s for s in SEEDS if s != ip)].machine.config.dump()))
+        self.assertLessEqual(thin.heard["SnapshotPart"], -(-size // (32 << 10)) + 2, parts)
+
+
+class Desk(unittest.TestCase):
+    def follower(self):
+        boot = Boot("edge-1", "10.1.0.1", "z", (7660, 7675), ["10.1.0.1:8407"], Bind())
+        follower = Follower(mock.Mock(), boot, random.Random(1), mock.Mock(), None, None, dict)
+        follower.link = mock.Mock(buffer=bytearray())
+        return follower
+
+    def feed(self, follower, body, digest):
+        link = follower.link
+        follower._heard(link, SnapshotOffer(7))
+        for offset in range(0, len(body), 32 << 10):
+            part = body[offset:offset + (32 << 10)]
+            follower._heard(link, SnapshotPart(7, digest, len(body), offset, part))
+        return [call.args[-1] for call in link.send.call_args_list]
+
+    def test_it_acts_on_a_configuration_only_when_it_is_whole_and_as_its_digest_says(self):
+        body = m.pack(configuration(700, 3000, 23))
+        digest = hashlib.sha256(body).digest()
+        follower = self.follower()
+        wrong = body[:50_000] + bytes([body[50_000] ^ 1]) + body[50_001:]
+        self.assertEqual(self.feed(follower, wrong, digest)[-1], m.Following(-1))
+        self.assertEqual((follower.slot, follower.table), (-1, None))
+        self.assertEqual(self.feed(follower, body, digest)[-1], m.Following(7))
+        self.assertEqual((follower.slot, follower.config.ver), (7, 1))
+
+    def test_a_part_of_another_state_is_passed_over(self):
+        fetch = Fetch("a", 0, 4, 2, 0.0)
+        self.assertEqual([r.offset for r in fetch.requests()], [0])
+        self.assertTrue(fetch.take(SnapshotPart(5, b"x", 10, 0, b"0123"), 1.0))
+        self.assertEqual([r.offset for r in fetch.requests()], [4, 8])
+        self.assertFalse(fetch.take(SnapshotPart(5, b"y", 10, 4, b"4567"), 1.0))
+        self.assertFalse(fetch.take(SnapshotPart(6, b"x", 10, 4, b"4567"), 1.0))
+        self.assertFalse(fetch.take(SnapshotPart(5, b"x", 10, 4, b"456"), 1.0))
+        self.assertTrue(fetch.take(SnapshotPart(5, b"x", 10, 8, b"89"), 1.0))
+        self.assertIsNone(fetch.whole())
+        self.assertTrue(fetch.take(SnapshotPart(5, b"x", 10, 4, b"4567"), 1.0))
+        self.assertEqual(fetch.whole(), b"0123456789")
+        self.assertFalse(fetch.sound(fetch.whole()))
+
+
+class FormerVersions(unittest.TestCase):
+    """Messages as processes of the version before send them, and what these are sent."""
+
+    def node(self, size):
+        ledger = Padded(Ledger(), size)
+        state = ledger.take()
+        durable = Durable("a", 5, {}, {}, Saved(5, state, [Voter("a", "a")], 6))
+        return Node(Voter("a", "a"), durable, ledger, random.Random(1), Timing()), state
+
+    def told(self, node, data):
+        return [e.message for e in node.handle("b", wire.decode(data), 1.0) if isinstance(e, Send)]
+
+    def test_a_member_gets_a_snapshot_in_one_message(self):
+        node, state = self.node(300_000)
+        asked = msgspec.msgpack.encode(["c.behind", 0])
+        self.assertEqual(self.told(node, asked), [Snapshot(5, state, [Voter("a", "a")])])
+        self.assertEqual(self.told(node, wire.encode(wire.CatchUp(0, True))), [SnapshotOffer(5)])
+
+    def test_a_small_state_goes_in_one_message_as_ever(self):
+        node, state = self.node(20_000)
+        told = [Snapshot(5, state, [Voter("a", "a")])]
+        self.assertEqual(self.told(node, wire.encode(wire.CatchUp(0, True))), told)
+
+    def test_a_desk_that_names_no_parts_is_understood(self):
+        opened = m.decode(msgspec.msgpack.encode(["open", "edge-1", 1, 1, "z", 3, "r", 0]))
+        self.assertEqual(opened, m.Open("edge-1", 1, 1, "z", 3, "r", 0, False))
+
+
+class Kept(unittest.TestCase):
+    def test_what_is_sent_stays_as_it_is_and_goes_when_nobody_asks(self):
+        source = Source(10.0)
+        made = []
+
+        def make():
+            made.append(sealed(7 + len(made), b"state" * 10, 0.0))
+            return made[-1]
+        first = source.sealed_for(wire.PartRequest(0, b"", 0, 4), 1, 7, make, 0.0)
+        self.assertIs(source.sealed_for(wire.PartRequest(0, b"", 0, 4), 1, 9, make, 5.0), first)
+        self.assertIs(source.sealed_for(wire.PartRequest(7, first.digest, 4, 4), 1, 9, make, 6.0), first)
+        self.assertEqual((len(made), source.pinned()), (1, 7))
+        self.assertIsNone(source.sealed_for(wire.PartRequest(6, b"no", 4, 4), 1, 9, make, 6.0))
+        source.expire(source.due())
+        self.assertEqual((source.kept, source.pinned()), ([], float("inf")))
+
+    def test_the_same_state_is_sealed_to_the_same_bytes_and_read_back(self):
+        snapshot = Snapshot(3, b"s" * 1000, [Voter("a", "a")])
+        one, other = seal(snapshot, 1, 0.0), seal(snapshot, 1, 5.0)
+        self.assertEqual(one.digest, other.digest)
+        self.assertEqual(unseal(one.data), snapshot)
+
+    def test_the_log_is_kept_from_a_state_that_is_being_sent_on(self):
+        ledger = Padded(Ledger(), 100_000)
+        durable = Durable("a", 0, {}, {}, Saved(0, b"", [Voter("a", "a")], 1))
+        node = Node(Voter("a", "a"), durable, ledger, random.Random(1), Timing(keep=8, keep_most=32))
+
+        def change(ver):
+            effects = node.submit(ver, Order(ver, ver - 1).judge(f"t{ver}"), float(ver))
+            while effects:
+                effect = effects.pop(0)
+                if isinstance(effect, Send) and effect.addr == "a":
+                    effects += node.handle("a", effect.message, float(ver))
+                else:
+                    effects += getattr(effect, "then", [])
+        for ver in range(1, 70):
+            change(ver)
+        self.assertGreater(node.first, 20)
+        node.handle("b", wire.PartRequest(0, b"", 0, 4), 69.5)
+        for ver in range(70, 110):
+            change(ver)
+        self.assertLessEqual(node.first, 70)
+        self.assertEqual(len(node.entries(70)), 40)
