--- /dev/null
+++ b/folio/consensus/check_catchup.py
@@ -0,0 +1,653 @@
+"""Model check of catching up: the real Node over links that have a rate and keep order.
+
+`run` plays seeded random schedules: states from nothing to megabytes, members behind 2 Mbit/s that restart,
+come back after minutes, start empty, are cut off in the middle of a transfer or lose its source, while
+changes go on. It watches, besides what `folio.consensus.check` does,
+
+- that each member is up to date within a stated time and number of bytes once the faults end, though changes
+  go on;
+- that no member's state goes back, and none votes on a slot before it knows all earlier ones;
+- that signs of life never wait longer than `SIGNS` s behind a transfer;
+- that what is kept in memory, in records and written to disk stays within bounds.
+
+Times are seconds, sizes bytes.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from random import Random
+from typing import Any
+
+from msgspec.structs import replace
+
+from folio.consensus.check import Host, Ledger, Order, World
+from folio.consensus.errors import ConsensusError
+from folio.consensus.messages import (
+    Accepted,
+    CatchUp,
+    Change,
+    Message,
+    PartRequest,
+    Promise,
+    Snapshot,
+    SnapshotOffer,
+    SnapshotPart,
+    decode,
+    encode,
+)
+from folio.consensus.node import Node, Timing
+from folio.consensus.records import Effect, Fresh, Learned, Persist, Record, Saved, Send
+from folio.consensus.transfer import KEPT, Fetch, Sealed, Source
+from folio.schedules import Mutant, Report, Violation, play
+
+STEPS = 8           # acts of fate in a schedule
+SLOW, FAST = 250_000, 12_500_000    # bytes/s of a link: 2 and 100 Mbit/s
+PING = 0.25         # s between signs of life, as in the daemons
+SIGN = 60           # bytes of one
+SIGNS = 0.6         # s that one may wait in line; a registry counts as silent after 1.1
+SIZES = (0, 0, 20_000, 300_000, 300_000, 3_700_000)     # bytes that a state has besides what the model needs
+BODIES = (0, 300, 300, 1_000)       # bytes of a change
+SEALS = 24          # sealings of its state by one member between two starts
+SPARE = 12.0        # s to be up to date in, besides what the bytes take
+WASTE = 2.5         # how often the bytes of a state and of the log behind it may come to one member
+
+
+def kept_most(timing: Timing) -> int:
+    """Entries of the log that a member may keep: a fetch holds up the cut, which is made each half of
+    `keep_most` slots."""
+    return 2 * timing.keep_most + timing.keep_most // 2 + 8
+
+
+class Padded:
+    """The ledger with a state as large as a real one; the bytes tell of which version they are."""
+
+    def __init__(self, ledger: Ledger, size: int) -> None:
+        self.ledger, self.size = ledger, size
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.ledger, name)
+
+    def _padding(self) -> bytes:
+        return f"{self.ledger.ver:016x}".encode() * (self.size // 16)
+
+    def take(self) -> bytes:
+        """The state and its padding."""
+        return self._padding() + self.ledger.take()
+
+    def give(self, state: bytes) -> None:
+        """Take the state, which must be all of one version."""
+        size = self.size // 16 * 16 if state else 0
+        self.ledger.give(bytes(state[size:]))
+        if state and bytes(state[:size]) != self._padding():
+            raise Violation("a state is joined from two")
+
+
+class Patch(Order, frozen=True):
+    """An operator's change with a body."""
+
+    size: int = 0
+
+    def judge(self, tag: str) -> Callable[[Ledger], Any]:
+        """As any other order, as a patch of `size` bytes."""
+        look = super().judge(tag)
+
+        def sized(ledger: Ledger) -> Any:
+            verdict = look(ledger)
+            if isinstance(verdict, Change):
+                return Change(tag, self.ver, self.parent, False, bytes(self.size), verdict.digest)
+            return verdict
+
+        return sized
+
+
+class Watched(Node):
+    """The node, watched after each thing it does."""
+
+    size = 0        # bytes that its state is padded by; set by the world that makes it
+    _was = _seals = 0
+
+    def __init__(self, me: Any, durable: Any, machine: Ledger, *args: Any, **kwargs: Any) -> None:
+        super().__init__(me, durable, Padded(machine, self.size), *args, **kwargs)
+        self._was = self.last
+
+    def handle(self, sender: str, message: Message, now: float) -> list[Effect]:
+        """As the node, but that what it can't bear is a fault."""
+        try:
+            return super().handle(sender, message, now)
+        except ConsensusError as error:
+            raise Violation(f"{self.me.addr}: {error}") from None
+
+    def _seal(self) -> Sealed:
+        self._seals += 1
+        if self._seals > SEALS:
+            raise Violation(f"{self.me.addr} has sealed its state {SEALS} times")
+        return super()._seal()
+
+    def _done(self, out: list[Effect]) -> list[Effect]:
+        if self.last < self._was:
+            raise Violation(f"{self.me.addr} went back from slot {self._was} to {self.last}")
+        self._was = self.last
+        for effect in out:
+            for send in effect.then if isinstance(effect, Persist) else ():
+                if isinstance(send.message, Promise | Accepted) and send.message.slot > self.last + 1:
+                    raise Violation(f"{self.me.addr} votes on {send.message.slot}, knowing {self.last}")
+        if self._fetch is not None and self._fetch.slot > self.last and self._fetch.size:
+            held = sum(map(len, self._fetch.parts.values()))
+            if held > self._fetch.size:
+                raise Violation("more is kept of a transfer than it has bytes")
+        timing = self.timing
+        if self._log_bytes > timing.keep_bytes + 2 * timing.run_bytes or len(self._log) > kept_most(timing):
+            raise Violation(f"{self.me.addr} keeps a log of {len(self._log)} slots, {self._log_bytes} bytes")
+        if len(self._source.kept) > KEPT:
+            raise Violation(f"{self.me.addr} keeps {len(self._source.kept)} sealed snapshots")
+        return super()._done(out)
+
+
+class Site(World):
+    """Members behind links that have a rate, keep the order and lose what is under way when they are cut."""
+
+    def __init__(self, seed: int, node_class: type[Watched], size: int, timing: Timing) -> None:
+        self.size = size
+        self.slow: set[str] = set()
+        self.flaw = 0.0         # chance that a part comes with a wrong byte
+        self.free: dict[tuple[str, str], float] = {}
+        self.came: dict[str, int] = {}          # bytes of state and log that came to each
+        self.written: dict[str, list[int]] = {}     # bytes of each whole state written by each
+        self.signs = 0.0        # s, the longest that a sign of life has waited
+        sized = type(node_class.__name__, (node_class,), {"size": size})
+        super().__init__(seed, ["m0", "m1", "m2"], sized, timing)
+        self.after(0.0, self._ping_all)
+
+    # Links
+
+    def rate(self, a: str, b: str) -> int:
+        """Bytes/s between two members."""
+        return SLOW if a in self.slow or b in self.slow else FAST
+
+    def _line(self, a: str, b: str, size: int) -> tuple[float, float]:
+        """When so many bytes are there, and how long they wait before their turn."""
+        wait = max(0.0, self.free.get((a, b), 0.0) - self.now)
+        self.free[a, b] = self.now + wait + size / self.rate(a, b)
+        return self.free[a, b] - self.now + 0.002, wait
+
+    def carry(self, what: Callable, *args: Any) -> None:
+        """A message goes out, in line behind what went before."""
+        sender, addr, life, data = args
+        if frozenset((sender, addr)) in self.cut or self.rng.random() < self.loss:
+            return
+        delay, _ = self._line(sender, addr, len(data))
+        if self.flaw and b"c.part" in data[:10] and self.rng.random() < self.flaw:
+            part = decode(data)
+            if part.data:
+                wrong = bytes([part.data[0] ^ 1]) + part.data[1:]
+                data = encode(SnapshotPart(part.slot, part.digest, part.size, part.offset, wrong))
+        self.after(delay, self._arrive, what, sender, addr, life, data)
+
+    def _arrive(self, what: Callable, sender: str, addr: str, life: Any, data: bytes) -> None:
+        if any(tag in data[:14] for tag in (b"c.part", b"c.snapshot", b"c.chosen")):
+            self.came[addr] = self.came.get(addr, 0) + len(data)
+        what(sender, addr, life, data)
+
+    def _ping_all(self) -> None:
+        live = [host for host in self.hosts.values() if host.node is not None]
+        for host in live:
+            voters = {voter.addr for voter in host.node.voters}
+            host.node.learners = [addr for addr in self.hosts if addr not in voters and addr != host.addr]
+            for other in live:
+                if other is not host and frozenset((host.addr, other.addr)) not in self.cut:
+                    delay, wait = self._line(host.addr, other.addr, SIGN)
+                    self.signs = max(self.signs, wait)
+                    if wait > SIGNS:
+                        raise Violation(f"a sign of life to {other.addr} waits for {wait:.2f} s")
+                    self.after(delay, self._pinged, host.addr, other.addr, host.node.last)
+        self.after(PING, self._ping_all)
+
+    def _pinged(self, sender: str, addr: str, last: int) -> None:
+        host = self.hosts[addr]
+        if host.node is not None and frozenset((sender, addr)) not in self.cut:
+            self._call(host, host.node.hint, sender, last)
+
+    def start(self, addr: str, bootstrap: bool = False) -> None:
+        """Start a machine, whose links are new."""
+        for key in [key for key in self.free if addr in key]:
+            del self.free[key]
+        super().start(addr, bootstrap)
+        self._watch_disk(self.hosts[addr])
+
+    def _watch_disk(self, host: Host) -> None:
+        write = type(host.disk).write
+
+        def watched(records: Iterable[Record]) -> None:
+            records = list(records)
+            write(host.disk, records)
+            for record in records:
+                if isinstance(record, Saved):
+                    self.written.setdefault(host.addr, []).append(record.slot)
+            most = kept_most(self.timing)
+            if any(isinstance(r, Learned | Saved) for r in records) and len(host.disk.content.chosen) > most:
+                raise Violation(f"{host.addr} keeps {len(host.disk.content.chosen)} entries on its disk")
+
+        host.disk.write = watched
+
+    def live(self) -> list[Host]:
+        """The machines that are up."""
+        return [host for host in self.hosts.values() if host.node is not None]
+
+    def sealed(self) -> int:
+        """Bytes of a state, at the most, as it travels."""
+        return self.size + 40 * len(self.vers) + 2000
+
+
+class _Schedule:
+    """Changes go on while `steps` acts of fate befall members one at a time; then no more faults."""
+
+    def __init__(self, seed: int, steps: int, node_class: type[Watched]) -> None:
+        chance = Random(f"catchup/{seed}")
+        long = seed % 16 == 7
+        self.body = chance.choice(BODIES[:3] if long else BODIES)
+        self.pause = 0.03 if long else chance.choice((0.03, 0.1, 0.1, 0.3))
+        self.changes = 1000 if long else chance.choice((60, 120, 250))
+        size = chance.choice(SIZES)
+        timing = Timing(poll_all=False, keep=chance.choice((8, 64)), level=0,
+                        keep_most=chance.choice((128, 1024)), join=0.3)
+        self.steps = steps
+        self.node_class = node_class
+        self.world = Site(seed, node_class, size, timing)
+        self.world.flaw = chance.choice((0.0, 0.0, 0.02))
+        self.world.loss = chance.choice((0.0, 0.0, 0.01))
+        self.world.slow = set(chance.sample(["m0", "m1", "m2", "m3", "m4"], chance.choice((1, 2))))
+        self.ver = 0
+        self.flowing = True
+        self.joined = 3
+
+    # Operators
+
+    def _flow(self) -> None:
+        world = self.world
+        live = world.live()
+        if self.flowing and live and max(world.chosen, default=0) < self.changes:
+            self.ver += 1
+            parent = world.vers[max(world.vers)]
+            order = Patch(self.ver, parent, self.body)
+            world.submit(world.rng.choice(live).addr, f"c{self.ver}", order, 2.0)
+            if self.ver % 4 == 0:   # and once more elsewhere, as if no answer had come
+                again = world.rng.choice(live).addr
+                world.after(world.rng.uniform(0.0, 0.05), world.submit, again, f"c{self.ver}.1", order, 2.0)
+            if self.ver % 5 == 0:
+                world.read(world.rng.choice(live).addr, f"r{self.ver}")
+        world.after(self.pause * world.rng.uniform(0.5, 1.5), self._flow)
+
+    # Fate, one member at a time
+
+    def _down(self, lose: bool, span: float) -> None:
+        world = self.world
+        addr = world.rng.choice([host.addr for host in world.live()])
+        if len(world.live()) < 3 or (lose and not world.may_lose(addr)):
+            return
+        world.crash(addr, lose)
+        world.run_until(world.now + span)
+        world.start(addr)
+
+    def _restart(self) -> None:
+        self._down(False, self.world.rng.choice((0.5, 2.0, 20.0)))
+
+    def _long_away(self) -> None:
+        self._down(False, self.world.rng.choice((60.0, 150.0)))
+
+    def _wipe(self) -> None:
+        self._down(True, self.world.rng.choice((0.5, 5.0)))
+
+    def _add(self) -> None:
+        world = self.world
+        if self.joined < 5:
+            world.start(f"m{self.joined}")
+            self.joined += 1
+
+    def _cut(self) -> None:
+        world = self.world
+        addr = world.rng.choice([host.addr for host in world.live()])
+        pairs = [frozenset((addr, other)) for other in world.hosts if other != addr]
+        world.cut.update(pairs)
+        world.run_until(world.now + world.rng.choice((0.5, 3.0, 15.0)))
+        world.cut.difference_update(pairs)
+
+    def _during(self) -> Host | None:
+        """Wait for a transfer that has begun; who receives it."""
+        world = self.world
+        for _ in range(40):
+            for host in world.live():
+                if host.node._fetch is not None and host.node._fetch.parts:
+                    return host
+            world.run_until(world.now + 0.05)
+        return None
+
+    def _cut_transfer(self) -> None:
+        world, host = self.world, self._during()
+        if host is None:
+            return
+        pairs = [frozenset((host.addr, other)) for other in world.hosts if other != host.addr]
+        if world.rng.random() < 0.5:
+            pairs = [frozenset((host.addr, host.node._fetch.source))]
+        world.cut.update(pairs)
+        world.run_until(world.now + world.rng.choice((0.5, 2.0, 8.0)))
+        world.cut.difference_update(pairs)
+
+    def _kill_source(self) -> None:
+        world, host = self.world, self._during()
+        if host is None or len(world.live()) < 3:
+            return
+        addr, flaw = host.node._fetch.source, world.flaw
+        target = host.node._fetch.slot
+        able = [other for other in world.live() if other.addr not in (addr, host.addr)
+                and other.node.last >= target]
+        world.crash(addr)
+        if not able or world.rng.random() < 0.5:
+            world.run_until(world.now + world.rng.choice((0.3, 3.0)))
+            world.start(addr)
+            return
+        # The others still have a state.
+        world.flaw, span = 0.0, SPARE + 2 * world.sealed() / SLOW
+        world.run_until(world.now + span)
+        if host.node.last < target:
+            raise Violation(f"{host.addr} is at slot {host.node.last}, not at {target}, {span:.0f} s after "
+                            "its source has died")
+        world.flaw = flaw
+        world.start(addr)
+
+    _ACTS = (_restart, _restart, _long_away, _wipe, _wipe, _add, _add, _cut, _cut_transfer, _kill_source)
+
+    def play(self) -> None:
+        world = self.world
+        world.run_until(1.0)
+        self._flow()
+        for _ in range(self.steps):
+            world.run_until(world.now + world.rng.choice((0.5, 2.0, 6.0)))
+            world.rng.choice(self._ACTS)(self)
+        self._calm()
+        if world.size >= 300_000:
+            self._newcomer()
+        self._bounds()
+
+    # What must hold in the end
+
+    def _calm(self) -> None:
+        """No more faults, but more changes: all are up to date within the time and bytes stated."""
+        world = self.world
+        world.loss = world.flaw = 0.0
+        world.cut.clear()
+        for host in world.hosts.values():
+            world.start(host.addr)
+        self.changes = max(world.chosen, default=0) + 200
+        target, began = max(world.chosen, default=0), world.now
+        world.came = {}
+        log = 40 * (self.body + 300) * 8
+        most = WASTE * world.sealed() + 2 * (self.body + 300) * (target + 200) + log
+        span = SPARE + most / SLOW
+        behind = world.live()
+        while behind and world.now < began + span:
+            world.run_until(world.now + 0.5)
+            behind = [host for host in world.live() if host.node.last < target]
+        if behind:
+            host = behind[0]
+            raise Violation(f"{host.addr} is at slot {host.node.last}, not at {target}, {span:.0f} s after "
+                            "the last fault")
+        for addr, came in world.came.items():
+            if came > most:
+                raise Violation(f"{came} bytes came to {addr}, {most:.0f} are enough")
+        self._rest()
+
+    def _newcomer(self) -> None:
+        """An empty member behind a thin link takes one state and then the log, though changes go on."""
+        world = self.world
+        world.slow.add("new")
+        took = world.sealed() / SLOW
+        count = min(200, 3 * world.timing.keep_most // 2)
+        self.changes = max(world.chosen) + count
+        self.pause = max(0.03, took / count)
+        self.flowing, world.came = True, {}
+        target, most = max(world.chosen), 1.2 * world.sealed() + 3 * count * (self.body + 300)
+        world.start("new")
+        world.run_until(world.now + SPARE / 2 + 1.2 * most / SLOW)
+        host = world.hosts["new"]
+        if host.node.last < target:
+            raise Violation(f"a new member is at slot {host.node.last}, not at {target}")
+        if world.came["new"] > most:
+            raise Violation(f"{world.came['new']} bytes came to a new member, {most:.0f} are enough")
+        self._rest()
+
+    def _rest(self) -> None:
+        """No more changes: all can read, and know the same."""
+        world = self.world
+        self.flowing = False
+        world.run_until(world.now + 10.0)
+        tag = f"end{len(world.hosts)}"
+        for host in world.live():
+            world.read(host.addr, f"{tag}/{host.addr}")
+        world.run_until(world.now + 1.5)
+        for host in world.live():
+            if not isinstance(world.answers.get(f"{tag}/{host.addr}"), Fresh):
+                raise Violation(f"{host.addr} cannot read in calm times")
+        world.outcomes["slots"] += max(world.chosen, default=0)
+
+    def _bounds(self) -> None:
+        world = self.world
+        slots = max(world.chosen, default=0)
+        world.run_until(world.now + world.timing.hold + 1.0)
+        for host in world.live():
+            if host.node._source.kept:
+                raise Violation(f"{host.addr} keeps a sealed snapshot that nobody asks for")
+            if host.node._fetch is not None:
+                raise Violation(f"{host.addr} still fetches")
+        if world.size < 100_000:
+            return
+        grown = slots * (self.body + 200) // (world.size // 4) + slots // (world.timing.keep_most // 2)
+        for addr, written in world.written.items():
+            # Each life begins with at most one state that it did not have.
+            most = 2 + world.hosts[addr].life * 2 + 2 * self.steps + 2 * grown
+            if len(written) > most:
+                raise Violation(f"{addr} wrote the whole state {len(written)} times for {slots} slots")
+
+
+def run(seeds: Iterable[int], steps: int = STEPS, node_class: type[Watched] = Watched) -> Report:
+    """Play one random schedule of `steps` acts for each seed."""
+    report = Report()
+    play(seeds, lambda seed: _Schedule(seed, steps, node_class), report)
+    return report
+
+
+# The code without one of its guards
+
+
+class _AnyParts(Fetch):
+    def belongs(self, part: SnapshotPart) -> bool:
+        return True
+
+
+class _NoWindow(Fetch):
+    def requests(self) -> list[PartRequest]:
+        self.window = 1 << 30
+        return super().requests()
+
+
+class _NoMove(Fetch):
+    def move(self, now: float) -> None:
+        self.heard_at = now
+
+
+class _AnySealed(Source):
+    def find(self, slot: int, digest: bytes, now: float) -> Sealed | None:
+        return self.kept[-1] if self.kept else None
+
+
+class _NeverExpires(Source):
+    def expire(self, now: float) -> None:
+        pass
+
+    def due(self) -> float:
+        return float("inf")
+
+
+class _Unbounded(Source):
+    def add(self, sealed: Sealed) -> Sealed:
+        self.kept.append(sealed)
+        return sealed
+
+
+class _TakesAnyPart(Watched):
+    _fetch_type = _AnyParts
+
+
+class _GivesAnyPart(Watched):
+    _source_type = _AnySealed
+
+
+class _Unwindowed(Watched):
+    _fetch_type = _NoWindow
+
+
+class _Loyal(Watched):
+    _fetch_type = _NoMove
+
+
+class _Hoards(Watched):
+    _source_type = _NeverExpires
+
+
+class _SealsAll(Watched):
+    _source_type = _Unbounded
+
+    def _sealed_for(self, message: PartRequest) -> Sealed | None:
+        if not message.digest:
+            return self._source.add(self._seal())
+        return super()._sealed_for(message)
+
+
+class _Gullible(Fetch):
+    def sound(self, data: bytes) -> bool:
+        return True
+
+
+class _NoDigest(Watched):
+    _fetch_type = _Gullible
+
+
+class _BeginsAnew(Watched):
+    def _on_snapshot_offer(self, sender: str, message: SnapshotOffer, out: list[Effect]) -> None:
+        if self._fetch is not None and message.last > max(self.last, self._fetch.slot):
+            self._begin_fetch(sender, out)
+        else:
+            super()._on_snapshot_offer(sender, message, out)
+
+
+class _SealsAnew(Watched):
+    """Keeps nothing: each part is of the state as it is when the part is asked for."""
+
+    def _sealed_for(self, message: PartRequest) -> Sealed | None:
+        self._source.kept.clear()
+        return self._seal() if not message.digest or message.slot == self.last else None
+
+
+class _AllAtOnce(Watched):
+    def _tell(self, addr: str, slot: int, out: list[Effect], asked: CatchUp | None = None) -> bool:
+        if slot < self._first:
+            out.append(Send(addr, Snapshot(self.last, self._state(), self.voters)))
+            return True
+        return super()._tell(addr, slot, out, asked)
+
+
+class _TellsUnasked(Watched):
+    def _tell(self, addr: str, slot: int, out: list[Effect], asked: CatchUp | None = None) -> bool:
+        return super()._tell(addr, slot, out, asked or CatchUp(slot, True))
+
+
+class _LongRuns(Watched):
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.timing = replace(self.timing, run_bytes=1 << 20)
+
+
+class _AsksAgain(Watched):
+    def _ask(self, addr: str, out: list[Effect]) -> None:
+        self._seen = self.last
+        super()._ask(addr, out)
+
+
+class _VotesBehind(Watched):
+    def _may_vote(self, sender: str, slot: int, out: list[Effect]) -> bool:
+        return super()._may_vote(sender, min(slot, self.last + 1) if self.voters else slot, out)
+
+
+class _ServesBehind(Watched):
+    def _advance(self, out: list[Effect]) -> None:
+        self._confirm(self._seq)
+        super()._advance(out)
+
+
+class _JudgesBehind(Watched):
+    """Answers what it judges on its own state, without knowing that this is current."""
+
+    def _judge(self, pending: Any) -> Any:
+        pending.confirmed = True
+        return super()._judge(pending)
+
+
+class _CutsLog(Watched):
+    def _may_cut(self) -> bool:
+        kept, self._source.kept = self._source.kept, []
+        may = super()._may_cut()
+        self._source.kept = kept
+        return may
+
+
+class _GoesBack(Watched):
+    def _on_snapshot(self, sender: str, message: Snapshot, out: list[Effect]) -> None:
+        if self.voters and message.slot < self.last:
+            last, self.last = self.last, message.slot - 1
+            super()._on_snapshot(sender, message, out)
+            self.last = min(self.last, last)
+        else:
+            super()._on_snapshot(sender, message, out)
+
+
+class _SavesOften(Watched):
+    def _compact(self) -> list[Record]:
+        bulk, self._bulk = self._bulk, 0
+        records = super()._compact()
+        self._bulk = self._bulk or bulk
+        return records
+
+
+class _KeepsLog(Watched):
+    def _may_cut(self) -> bool:
+        return False
+
+
+def _mutant(guard: str, node_class: type[Watched], seed: int | None = None, why: str = "") -> Mutant:
+    return Mutant(guard, lambda seeds: run(seeds, node_class=node_class), seed, why)
+
+
+MUTANTS = (
+    _mutant("the same slot and digest for all parts, at the receiver", _TakesAnyPart, None,
+            "not found in 25 schedules: a sender gives only what it is asked for, and the digest "
+            "of the whole catches a part of a former transfer that comes late"),
+    _mutant("the same slot and digest for all parts, at the sender", _GivesAnyPart, 1),
+    _mutant("the digest compared once all parts are here", _NoDigest, 1),
+    _mutant("a running transfer kept when a newer state is offered", _BeginsAnew, 1),
+    _mutant("the window of parts", _Unwindowed, 1),
+    _mutant("turning to another source", _Loyal, 31),
+    _mutant("the sealed snapshot kept unchanged while it is sent", _SealsAnew, 1),
+    _mutant("one sealed snapshot for all who ask, two at most", _SealsAll, 1),
+    _mutant("sealed snapshots let go when nobody asks", _Hoards, 1),
+    _mutant("parts for large states", _AllAtOnce, 1),
+    _mutant("nothing large sent unasked", _TellsUnasked, 1),
+    _mutant("short runs of the log", _LongRuns, 1),
+    _mutant("one question at a time while far behind", _AsksAgain, 1),
+    _mutant("no vote beyond the slot after the last known one", _VotesBehind, 0),
+    _mutant("reads confirmed by a majority", _ServesBehind, 0),
+    _mutant("verdicts confirmed by a majority", _JudgesBehind, 0),
+    _mutant("the log kept from a snapshot that is being sent on", _CutsLog, 16),
+    _mutant("no snapshot older than the own state", _GoesBack, 0),
+    _mutant("large states saved in proportion to the log", _SavesOften, 1),
+    _mutant("the log cut", _KeepsLog, 6),
+)
--- a/folio/reference/model_check.py
+++ b/folio/reference/model_check.py
@@ -25,6 +25,7 @@
     "lending": "folio.lending.check",
     "callers": "folio.stacks.check_callers",
     "handover": "folio.accession.check_handover",
+    "catchup": "folio.consensus.check_catchup",
 }
 GROUPS = {"both": ("agreement", "lending"), "all": tuple(PARTS)}
 CHUNK = 8       # schedules that a process plays before it is given more
