Node.ready: one that is not ready does not ask to join

Cause: a newcomer may vote as soon as it knows the log, also while what else a control machine keeps is not there yet. Change: while Node.ready is False no JoinRequest goes out; the owner says when.

--- a/folio/consensus/node.py
+++ b/folio/consensus/node.py
@@ -171,7 +171,8 @@
 
     `machine` holds the applied state, `durable` what the disk gave back (with an id, see
     `voters.settle`), `contacts` the addresses to ask while no voters are known. `voting` says whether
-    this machine wants to vote, `survive` how many machines may be lost at once.
+    this machine wants to vote, `survive` how many machines may be lost at once. While `ready` is False no
+    JoinRequest goes out: its owner sets it once all else is there that a voter has to bring along.
     """
 
     _fetch_type, _source_type = Fetch, Source
@@ -192,6 +193,7 @@
         self.machine = machine
         self.timing = timing or Timing()
         self.voting = voting
+        self.ready = True
         self.survive = survive
         self.contacts = list(contacts)
         self.learners: list[str] = []
@@ -947,6 +949,7 @@
         """
         if self.voting:
             return None if self.me in self.voters or not self.ready else JoinRequest(self.me, self.last)
+            return JoinRequest(self.me, self.last) if self.ready and self.me not in self.voters else None
         return next((LeaveRequest(voter) for voter in self.voters if voter.addr == self.me.addr), None)
 
     def _ask_for_seat(self, out: list[Effect]) -> None:
