Consensus: a voter that is told to end leaves first, and serves until the others know

Cause: on SIGTERM a registry ended 0.3 s later as a voter. With four voters (three, and the successor that was started first) another loss within the next two seconds left two of four: no majority, for good. Change: Node.leave asks to be struck off at once; `left` holds once an entry behind the change is chosen, by the voters that stay, each of which has the change on its disk. Registry.stop waits for it, 1.5 s at most, and not where no voter can be spared.

--- a/folio/consensus/node.py
+++ b/folio/consensus/node.py
@@ -225,7 +225,8 @@
         self._clock: float | None = None
         self._since = 0.0
         self._heard: dict[str, float] = {}
-        self._joining: dict[str, tuple[Voter, float]] = {}
+        self._parting = False
+        self._joining: dict[str, tuple[JoinRequest, float]] = {}
         self._leaving: dict[str, float] = {}
         self._asked = ("", -1.0)
         self._seen = 0              # the newest slot that anyone is known to know
@@ -338,6 +339,32 @@
         """Whether this voter has accepted other voters for the next slot, and knows not what came of it."""
         vote = self._orphan()
         return vote is not None and isinstance(vote.entry, Voters)
+    def leave(self, now: float) -> list[Effect]:
+        """Ask the others to strike this voter off, for good; its owner drives it on while `leaving`.
+
+        They do so if a newcomer takes its place or enough voters remain.
+        """
+        self._parting = self.me in self.voters
+        self.voting = False
+        self._join_due = now
+        return self.tick(now)
+
+    @property
+    def left(self) -> bool:
+        """Whether this machine may end: it is struck off, and a majority of the voters after it knows so.
+
+        An entry after the one that struck it off was taken by a majority of those, each of which had
+        written down the latter.  Before, this machine may be the only one to know it as chosen.
+        """
+        return self.me not in self.voters and self.last > self._voters_since()
+
+    @property
+    def leaving(self) -> bool:
+        """Whether this machine does well to wait until it has `left`: there are voters enough without it, or
+        it is struck off and the others may not know."""
+        if self.me in self.voters:
+            return self._parting and len(self.voters) > policy.least(self.survive)
+        return self._parting and not self.left
 
     # Time
 
@@ -374,7 +401,7 @@
                 due.append(max(self._hold, self._vote_since + self.timing.orphan))
         if self._turn is not None:
             due.append(self._turn[1])
-        if self.voters and self._seat_message() is not None:
+        if self.voters and (self._seat_message() is not None or self._parting):
             due.append(self._join_due)
         if self._fetch is not None:
             due.append(self._fetch.heard_at + self.timing.part_wait)
@@ -952,15 +979,34 @@
             return JoinRequest(self.me, self.last) if self.ready and self.me not in self.voters else None
         return next((LeaveRequest(voter) for voter in self.voters if voter.addr == self.me.addr), None)
 
+    def _voters_since(self) -> int:
+        """The slot from which the voters are in force, or a later one where that is no longer known."""
+        for slot in range(self.last, self._first - 1, -1):
+            if isinstance(self._log[slot], Voters):
+                return slot
+        return self._first - 1
+
     def _ask_for_seat(self, out: list[Effect]) -> None:
+        if self._clock < self._join_due:
+            return
         message = self._seat_message()
-        if message is None or self._clock < self._join_due:
+        if message is None and not self._parting:
             return
         self._join_due = self._clock + self.timing.join * self._jitter()
+        if message is None:
+            self._finish_leaving(out)
+            return
         if isinstance(message, LeaveRequest):
             self._leaving[message.voter.id] = self._clock
         out += [Send(voter.addr, message) for voter in self.voters if voter.addr != self.me.addr]
 
+    def _finish_leaving(self, out: list[Effect]) -> None:
+        """Have one more entry chosen, by the voters that are left: see `left`."""
+        self._parting = not self.left
+        if self._parting and not any(pending.ticket is None for pending in self._pending):
+            tag = f"left/{self._name}/{self._rng.getrandbits(32):08x}"
+            out += self._enqueue(None, lambda _: Nothing(tag), self._clock, 2.0)
+
     def _on_join_request(self, sender: str, message: JoinRequest, out: list[Effect]) -> None:
         self._seen = max(self._seen, message.slot)
         if self.voters and message.slot < self.last:
--- a/folio/consensus/voters.py
+++ b/folio/consensus/voters.py
@@ -67,9 +67,8 @@
         new = sorted([voter for voter in voters if voter not in going] + [newcomer])
         if _alive(new, lambda voter: just_heard.get(voter.addr, quiet(voter)), replace_after):
             return new
-    least = max(3, 2 * survive + 1)
     gone = [v for v in voters if v.id in leaving or quiet(v) > evict_after]
-    if gone and len(voters) - 1 >= least:
+    if gone and len(voters) > least(survive):
         worst = max(gone, key=lambda voter: (quiet(voter), voter))
         new = sorted(voter for voter in voters if voter != worst)
         if _alive(new, quiet, replace_after):
@@ -77,6 +76,11 @@
     return None
 
 
+def least(survive: int) -> int:
+    """How many voters stay at least, with `survive` machines that may be lost at once."""
+    return max(3, 2 * survive + 1)
+
+
 def _place_of(
     voters: Sequence[Voter],
     newcomer: Voter,
--- a/folio/registry/agreement.py
+++ b/folio/registry/agreement.py
@@ -45,6 +45,10 @@
         if now >= self.node.next_tick:
             self._carry(self.node.tick(now))
 
+    def leave(self, now: float) -> None:
+        """This registry ends: it asks the others to strike it off."""
+        self._carry(self.node.leave(now))
+
     def read(self, call: Call, now: float) -> None:
         """Answer with a configuration as new as any that was acknowledged before."""
         self._carry(self.node.read(self.slips.keep(call), now, READ))
--- a/folio/registry/daemon.py
+++ b/folio/registry/daemon.py
@@ -164,16 +164,17 @@
         self.node.contacts = [seed for seed in fresh.seeds if seed != self.peers.me]
 
     def stop(self) -> None:
-        """Hand duties over, serve what is under way, end: `stopped` is then done."""
+        """Hand duties over, leave the voters, serve what is under way, end: `stopped` is then done."""
         if self.stopping:
             return
         self.stopping = self.counter.closing = True
         logs.say("stopping", waiting=len(self.slips))
         self.peers.post_all(self.duties.release(self.now()))
+        self.agreement.leave(self.now())
         self.loop.call_later(0.3, self._end, 0)
 
     def _end(self, tries: int) -> None:
-        if len(self.slips) and tries < 12:
+        if (len(self.slips) or self.node.leaving) and tries < 12:
             self.loop.call_later(0.1, self._end, tries + 1)
         elif not self.stopped.done():
             self.stopped.set_result(None)
--- a/tests/folio/test_check_membership.py
+++ b/tests/folio/test_check_membership.py
@@ -4,7 +4,10 @@
 
 import unittest
 
-from folio.consensus.check import World
+from folio.consensus.check import Order, World
+from folio.consensus.messages import Voters
+from folio.consensus.node import Node, Timing
+from folio.consensus.records import Taken
 
 
 def voting(world: World) -> list[str]:
@@ -24,3 +27,58 @@
         node.ready = True
         world.run_until(7.0)
         self.assertEqual(voting(world), ["m0", "m1", "m2", "m3"])
+
+
+class Leaving(unittest.TestCase):
+    def _four(self) -> World:
+        world = World(1, ["m0", "m1", "m2"], timing=Timing(keep=4))
+        world.start("m3")
+        world.run_until(2.0)
+        self.assertEqual(voting(world), ["m0", "m1", "m2", "m3"])
+        return world
+
+    def _leave(self, world: World, addr: str) -> Node:
+        node = world.hosts[addr].node
+        world._carry(world.hosts[addr], node.leave(world.now))
+        return node
+
+    def test_one_that_leaves_serves_until_the_others_know(self):
+        # time | m0    | m1   | m2   | m3
+        # 2.0  | leave |      |      |
+        #      | struck off: by itself, by m3's vote and one more; the change may be known to m0 alone
+        #      | entry after it, taken by two of m1, m2, m3: left
+        world = self._four()
+        node = self._leave(world, "m0")
+        while not node.left:
+            world.run_until(world.now + 0.001)
+        self.assertLess(world.now, 3.0)
+        struck = next(slot for slot, entry in sorted(world.chosen.items(), reverse=True)
+                      if isinstance(entry, Voters))
+        self.assertEqual(voting(world), ["m1", "m2", "m3"])
+        knowing = [a for a in ("m1", "m2", "m3") if struck in world.hosts[a].disk.content.chosen]
+        self.assertGreaterEqual(len(knowing), 2)
+
+    def test_a_second_loss_as_the_leaver_has_gone_is_borne(self):
+        # time | m0          | m1    | m2        | m3
+        # 2.0  | leave, gone | crash | put, read |
+        world = self._four()
+        node = self._leave(world, "m0")
+        while not node.left:
+            world.run_until(world.now + 0.001)
+        world.crash("m0")
+        world.crash("m1")
+        world.submit("m2", "put", Order(1, 0))
+        world.run_until(world.now + 1.0)
+        self.assertIsInstance(world.answers["put"], Taken)
+
+    def test_of_three_none_is_struck_off_without_a_successor(self):
+        world = World(1, ["m0", "m1", "m2"])
+        world.run_until(1.0)
+        node = self._leave(world, "m0")
+        world.run_until(3.0)
+        self.assertFalse(node.left)
+        self.assertEqual(voting(world), ["m0", "m1", "m2"])
+        world.start("m3")
+        world.run_until(5.0)
+        self.assertTrue(node.left)
+        self.assertEqual(voting(world), ["m1", "m2", "m3"])
