--- a/folio/consensus/node.py
+++ b/folio/consensus/node.py
@@ -1022,7 +1022,10 @@
         # One that asked to join and fell silent would be a voter who does not vote.
         recent = self._clock - 2.5 * self.timing.join
         self._joining = {a: pair for a, pair in self._joining.items() if pair[1] >= recent}
-        self._leaving = {i: when for i, when in self._leaving.items() if when >= recent}
+        # One that asked to leave may have ended before it was struck off: until its silence says so, its
+        # request has to, or a newcomer would be added beside it instead of in its place.
+        late = self._clock - self.timing.evict_after
+        self._leaving = {i: when for i, when in self._leaving.items() if when >= late}
         return policy.propose(
             self.voters,
             [voter for voter, _ in self._joining.values() if voter not in self.voters],
--- a/tests/folio/test_check_membership.py
+++ b/tests/folio/test_check_membership.py
@@ -82,3 +82,26 @@
         world.run_until(5.0)
         self.assertTrue(node.left)
         self.assertEqual(voting(world), ["m1", "m2", "m3"])
+
+    def test_a_newcomer_takes_the_place_of_one_that_left_in_haste(self):
+        # time  | m2    | m3
+        # 1.0   | leave | start, not ready
+        # t=2.5 | crash, heard until then, asked to leave 0.3 s before
+        # t+0.6 |       | ready: so short a silence does not say that m2 is gone, its request to leave does
+        world = World(1, ["m0", "m1", "m2"])
+        world.run_until(1.0)
+        world.start("m3")
+        newcomer = world.hosts["m3"].node
+        newcomer.ready = False
+        node = self._leave(world, "m2")
+        world.run_until(2.5)
+        world.run_until(node._join_due - 0.005)
+        for addr in ("m0", "m1"):
+            world.hosts[addr].node.heard("m2", world.now)
+        world.crash("m2")
+        world.run_until(world.now + 0.6)
+        newcomer.ready = True
+        world._carry(world.hosts["m3"], newcomer.tick(world.now))
+        world.run_until(6.0)
+        sets = [entry.voters for entry in world.chosen.values() if isinstance(entry, Voters)]
+        self.assertEqual([[voter.addr for voter in voters] for voters in sets], [["m3", "m0", "m1"]])
