Consensus: a request to join counts only if it knows the voters in force

Cause: what waited for a voter while it stood still counts as heard when it goes on. Change: the request is kept with its slot, and is void once the voters have changed after that slot. Measured: test_the_word_of_a_lost_disk_that_waited_lets_nobody_in fails before and passes after.

--- a/folio/consensus/node.py
+++ b/folio/consensus/node.py
@@ -1012,7 +1012,8 @@
         if self.voters and message.slot < self.last:
             self._tell(sender, max(message.slot, 0) + 1, out)
         if self.voters and message.slot >= self.last - 4:
-            self._joining[message.voter.addr] = (message.voter, self._clock)
+            self._joining[message.voter.addr] = (message, self._clock)
+            self._leaving.pop(message.voter.id, None)
             self._mind_voters(out)
 
     def _on_leave_request(self, sender: str, message: LeaveRequest, out: list[Effect]) -> None:
@@ -1026,9 +1027,13 @@
         # request has to, or a newcomer would be added beside it instead of in its place.
         late = self._clock - self.timing.evict_after
         self._leaving = {i: when for i, when in self._leaving.items() if when >= late}
+        # One that did not know the voters in force may have asked before they were: what waited for this
+        # machine while it stood still may be the word of a disk that is lost by now.
+        since = self._voters_since() if self._joining else 0
         return policy.propose(
             self.voters,
-            [voter for voter, _ in self._joining.values() if voter not in self.voters],
+            [request.voter for request, _ in self._joining.values()
+             if request.slot >= since and request.voter not in self.voters],
             self._leaving,
             self._silence,
             self.survive,
--- a/tests/folio/test_check_membership.py
+++ b/tests/folio/test_check_membership.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import unittest
+from random import Random
 
-from folio.consensus.check import Order, World
-from folio.consensus.messages import Voters
+from folio.consensus import messages as wire
+from folio.consensus.check import Disk, Ledger, Order, World
+from folio.consensus.messages import Voter, Voters
 from folio.consensus.node import Node, Timing
-from folio.consensus.records import Taken
+from folio.consensus.records import Learned, Saved, Send, Taken
 
 
 def voting(world: World) -> list[str]:
@@ -105,3 +107,41 @@
         world.run_until(6.0)
         sets = [entry.voters for entry in world.chosen.values() if isinstance(entry, Voters)]
         self.assertEqual([[voter.addr for voter in voters] for voters in sets], [["m3", "m0", "m1"]])
+
+
+class Requests(unittest.TestCase):
+    def _node(self) -> Node:
+        voters = [Voter(name, name) for name in "abc"]
+        disk = Disk()
+        disk.write([Saved(0, b"", voters, 1), Learned(1, wire.Nothing("t"))])
+        node = Node(Voter("a", "a"), disk.load(), Ledger(), Random(2), Timing(poll_all=False))
+        node.tick(1.0)
+        return node
+
+    def _hear(self, node: Node, now: float, *others: str) -> None:
+        for other in others:
+            node.heard(other, now)
+
+    def test_the_word_of_a_lost_disk_that_waited_lets_nobody_in(self):
+        # b lost its disk, asked as "old", lost it again, was let in as "new"; a stood still, and hears the
+        # request of "old" only now.
+        node = self._node()
+        self._hear(node, 1.1, "b", "c")
+        node.handle("b", wire.JoinRequest(Voter("old", "b"), 1), 1.1)
+        self.assertIsNotNone(node._wanted())
+        new = Voters("v", [Voter("a", "a"), Voter("new", "b"), Voter("c", "c")])
+        node.handle("c", wire.Chosen(2, [new], 2), 1.11)
+        self.assertIsNone(node._wanted())
+        node.handle("b", wire.JoinRequest(Voter("third", "b"), 2), 1.12)
+        self.assertEqual([voter.id for voter in node._wanted()], ["a", "c", "third"])
+
+    def test_one_far_behind_is_told_and_not_let_in(self):
+        node = self._node()
+        self._hear(node, 1.1, "b", "c")
+        node.handle("c", wire.Chosen(2, [wire.Nothing(f"n{at}") for at in range(6)], 7), 1.1)
+        effects = node.handle("d", wire.JoinRequest(Voter("d", "d"), 2), 1.11)
+        self.assertIsNone(node._wanted())
+        told = [e.message for e in effects if isinstance(e, Send) and e.addr == "d"]
+        self.assertEqual([(message.slot, message.last) for message in told], [(3, 7)])
+        node.handle("d", wire.JoinRequest(Voter("d", "d"), 3), 1.12)
+        self.assertEqual(len(node._wanted()), 4)
