Consensus: one that was deaf gives all their time anew

A freeze was told from silence, a cut was not. Change: while no majority is heard, nobody's silence counts. Measured: test_one_that_was_deaf_strikes_off_nobody_it_has_yet_to_hear fails before and passes after.

--- a/folio/consensus/node.py
+++ b/folio/consensus/node.py
@@ -1020,6 +1020,7 @@
         self._leaving[message.voter.id] = self._clock
 
     def _wanted(self) -> list[Voter] | None:
+        self._mind_deafness()
         # One that asked to join and fell silent would be a voter who does not vote.
         recent = self._clock - 2.5 * self.timing.join
         self._joining = {a: pair for a, pair in self._joining.items() if pair[1] >= recent}
@@ -1042,6 +1043,12 @@
             self.timing.evict_after,
         )
 
+    def _mind_deafness(self) -> None:
+        # Where no majority is heard it may be this machine that does not hear: when it does again, all have
+        # their time anew.
+        if not policy.alive(self.voters, lambda voter: self._silence(voter.addr), self.timing.replace_after):
+            self._heard, self._since = {}, self._clock
+
     def _mind_voters(self, out: list[Effect]) -> None:
         """Propose the next change of voters when it is this node's turn."""
         if self.me not in self.voters:
--- a/folio/consensus/voters.py
+++ b/folio/consensus/voters.py
@@ -55,7 +55,7 @@
     def quiet(voter: Voter) -> float:
         return silence(voter.addr)
 
-    if not _alive(voters, quiet, replace_after):
+    if not alive(voters, quiet, replace_after):
         return None
     ids = {voter.id for voter in voters}
     for newcomer in sorted(joining, key=lambda voter: (voter.addr, voter.id)):
@@ -65,13 +65,13 @@
         if not going and any(quiet(voter) > sure for voter in voters):
             continue
         new = sorted([voter for voter in voters if voter not in going] + [newcomer])
-        if _alive(new, lambda voter: just_heard.get(voter.addr, quiet(voter)), replace_after):
+        if alive(new, lambda voter: just_heard.get(voter.addr, quiet(voter)), replace_after):
             return new
     gone = [v for v in voters if v.id in leaving or quiet(v) > evict_after]
     if gone and len(voters) > least(survive):
         worst = max(gone, key=lambda voter: (quiet(voter), voter))
         new = sorted(voter for voter in voters if voter != worst)
-        if _alive(new, quiet, replace_after):
+        if alive(new, quiet, replace_after):
             return new
     return None
 
@@ -98,7 +98,8 @@
     return [max(useless, key=lambda voter: (quiet(voter), voter))] if useless else []
 
 
-def _alive(voters: Sequence[Voter], quiet: Callable[[Voter], float], limit: float) -> bool:
+def alive(voters: Sequence[Voter], quiet: Callable[[Voter], float], limit: float) -> bool:
+    """Whether a majority of the voters was heard within the last `limit` seconds."""
     return 2 * sum(quiet(voter) <= limit for voter in voters) > len(voters)
 
 
--- a/tests/folio/test_check_membership.py
+++ b/tests/folio/test_check_membership.py
@@ -145,3 +145,21 @@
         self.assertEqual([(message.slot, message.last) for message in told], [(3, 7)])
         node.handle("d", wire.JoinRequest(Voter("d", "d"), 3), 1.12)
         self.assertEqual(len(node._wanted()), 4)
+
+    def test_one_that_was_deaf_strikes_off_nobody_it_has_yet_to_hear(self):
+        # time | a hears
+        # 1.0  | b c d
+        # 4.0  | nobody: it is cut off, not they
+        # 4.2  | b c     the link to d is not up again yet
+        # 6.3  | b c     d is silent for long enough after all
+        node = self._node()
+        node.handle("c", wire.Chosen(2, [Voters("v", [Voter(name, name) for name in "abcd"])], 2), 1.0)
+        self._hear(node, 1.0, "b", "c", "d")
+        for at in range(11, 41):
+            node.tick(at / 10)
+        self._hear(node, 4.2, "b", "c")
+        self.assertIsNone(node._wanted())
+        for at in range(42, 64):
+            self._hear(node, at / 10, "b", "c")
+            node.tick(at / 10)
+        self.assertEqual([voter.addr for voter in node._wanted()], ["a", "b", "c"])
