Consensus: a leaver keeps its vote while another voter may be gone

Cause: a newcomer took the place of a voter that asked to leave, though another had been silent for 1 s, too short to be replaced: the leaver's vote was given up, and the dead one stayed. Change: a leaver is replaced only where no other voter is silent for longer than `sure`. Measured: test_a_leaver_is_kept_while_another_may_be_gone fails before and passes after.

--- a/folio/consensus/voters.py
+++ b/folio/consensus/voters.py
@@ -61,7 +61,7 @@
     for newcomer in sorted(joining, key=lambda voter: (voter.addr, voter.id)):
         if newcomer.id in ids and newcomer in voters:
             continue
-        going = _place_of(voters, newcomer, leaving, quiet, replace_after)
+        going = _place_of(voters, newcomer, leaving, quiet, sure, replace_after)
         if not going and any(quiet(voter) > sure for voter in voters):
             continue
         new = sorted([voter for voter in voters if voter not in going] + [newcomer])
@@ -86,15 +86,20 @@
     newcomer: Voter,
     leaving: Collection[str],
     quiet: Callable[[Voter], float],
+    sure: float,
     replace_after: float,
 ) -> list[Voter]:
-    """The voters whose place the newcomer takes: its own former self, or one that is of no use."""
+    """The voters whose place the newcomer takes: its own former self, one that is silent, one that leaves.
+
+    One that leaves still votes: it is not given up while another may be gone, for the newcomer is to take
+    the place of that one.
+    """
     same = [voter for voter in voters if voter.id == newcomer.id or voter.addr == newcomer.addr]
     if same:
         return same
-    leaving = [voter for voter in voters if voter.id in leaving]
-    silent = [voter for voter in voters if quiet(voter) > replace_after]
-    useless = silent or leaving
+    useless = [voter for voter in voters if quiet(voter) > replace_after]
+    if not useless and not any(quiet(voter) > sure for voter in voters if voter.id not in leaving):
+        useless = [voter for voter in voters if voter.id in leaving]
     return [max(useless, key=lambda voter: (quiet(voter), voter))] if useless else []
 
 
--- a/tests/folio/test_check_membership.py
+++ b/tests/folio/test_check_membership.py
@@ -10,6 +10,7 @@
 from folio.consensus.messages import Voter, Voters
 from folio.consensus.node import Node, Timing
 from folio.consensus.records import Learned, Saved, Send, Taken
+from folio.consensus.voters import propose
 
 
 def voting(world: World) -> list[str]:
@@ -108,6 +109,20 @@
         sets = [entry.voters for entry in world.chosen.values() if isinstance(entry, Voters)]
         self.assertEqual([[voter.addr for voter in voters] for voters in sets], [["m3", "m0", "m1"]])
 
+    def test_a_leaver_is_kept_while_another_may_be_gone(self):
+        voters = [Voter(name, name) for name in "abcde"]
+        silence = {"b": 1.0}
+
+        def wanted() -> list[Voter] | None:
+            return propose(voters, [Voter("f", "f")], {"a"}, lambda addr: silence.get(addr, 0.0), survive=2,
+                           sure=0.75, replace_after=1.2, evict_after=2.0)
+
+        self.assertIsNone(wanted())
+        silence["b"] = 1.3
+        self.assertEqual([voter.addr for voter in wanted()], ["a", "c", "d", "e", "f"])
+        silence["b"] = 0.1
+        self.assertEqual([voter.addr for voter in wanted()], ["b", "c", "d", "e", "f"])
+
 
 class Requests(unittest.TestCase):
     def _node(self) -> Node:
