Model check of changes of voters: the next loss strikes at every step of a repair

Cause: the check of agreement replaces machines, but never lets a loss wait for a step of a change, sends no LeaveRequest, stands no machine still, and has three voters to begin with. A test over whole registries ends one by SIGTERM, and loses the next.

--- a/folio/reference/model_check.py
+++ b/folio/reference/model_check.py
@@ -26,6 +26,7 @@
     "callers": "folio.stacks.check_callers",
     "handover": "folio.accession.check_handover",
     "catchup": "folio.consensus.check_catchup",
+    "membership": "folio.consensus.check_membership",
 }
 GROUPS = {"both": ("agreement", "lending"), "all": tuple(PARTS)}
 CHUNK = 8       # schedules that a process plays before it is given more
--- /dev/null
+++ b/tests/folio/test_leaving.py
@@ -0,0 +1,57 @@
+"""SIGTERM of a registry whose successor was started first: a timeline over links in memory."""
+
+import unittest
+from unittest import mock
+
+from folio.stacks.disk import Platter
+from folio.stacks.guise import worn
+from tests.folio import test_registry
+from tests.folio.test_registry import System, config
+
+IP = "10.1.0.6"
+
+
+class Leaving(unittest.TestCase):
+    def setUp(self):
+        for names in (test_registry.IPS, test_registry.CTL):
+            changed = mock.patch.dict(names)
+            changed.start()
+            self.addCleanup(changed.stop)
+
+    def voters(self, system, name):
+        return sorted(voter.addr for voter in system.registries[name].node.voters)
+
+    def test_the_old_one_leaves_and_the_next_loss_is_borne(self):
+        # time | r1           | r2         | r3   | r4
+        # 3.0  |              |            |      | start
+        # 7.5  |              |            | stop | a voter
+        # then | kill as soon as r3 has ended; r2 takes a change
+        system = System(1)
+        with worn(system.world, lambda event, **fields: self.assertFalse(event.endswith("failed"), fields)):
+            system.world.run(3.0)
+            test_registry.IPS["r4"], test_registry.CTL["r4"] = IP, f"{IP}:8407"
+            system.platters["r4"] = Platter(system.world.random("r4"))
+            system.start("r4")
+            system.world.run(7.5)
+            self.assertEqual(len(self.voters(system, "r1")), 4)
+            leaver = system.registries["r3"]
+            leaver.stop()
+            while not leaver.stopped.done():
+                system.world.run(system.world.now + 0.01)
+            self.assertLess(system.world.now, 9.5)
+            left = sorted(test_registry.CTL[name] for name in ("r1", "r2", "r4"))
+            self.assertEqual(self.voters(system, "r2"), left)
+            system.kill("r3")
+            system.kill("r1")
+            system.call("r2", "PUT", "/-/config", config(1, 0))
+            system.world.run(system.world.now + 1.0)
+            self.assertEqual(system.answers["r2"].status, 200)
+
+    def test_one_of_three_ends_at_once(self):
+        system = System(1)
+        with worn(system.world, lambda event, **fields: self.assertFalse(event.endswith("failed"), fields)):
+            system.world.run(3.0)
+            system.registries["r3"].stop()
+            system.world.run(3.35)
+            self.assertTrue(system.registries["r3"].stopped.done())
+            self.assertEqual(len(self.voters(system, "r1")), 3)
