Model check of orders: operators that race, resend and lose answers, against the daemons themselves

Change: the part orders of model-check plays registries and desks on the emulator's clock, with scripted operators and an oracle of its own; 24 mutants.

--- a/folio/reference/model_check.py
+++ b/folio/reference/model_check.py
@@ -27,6 +27,7 @@
     "handover": "folio.accession.check_handover",
     "catchup": "folio.consensus.check_catchup",
     "membership": "folio.consensus.check_membership",
+    "orders": "folio.stacks.check_orders",
 }
 GROUPS = {"both": ("agreement", "lending"), "all": tuple(PARTS)}
 CHUNK = 8       # schedules that a process plays before it is given more
--- /dev/null
+++ b/folio/stacks/check_orders.py
@@ -0,0 +1,830 @@
+"""Model check of orders: operators that race, resend and lose answers, against the daemons themselves.
+
+A few registries and desks run on the emulator's virtual clock, without clients.  Operators send changes of
+the configuration as callers do: to any registry, the same again after a failure or a second of silence, until
+a clear answer comes.  Meanwhile machines are cut off (one way too), killed, frozen, lose power or disks, and
+answers are lost.  Watched is what operators were told, what was chosen, and what each desk acts on.
+
+Assumed, as by `docs/control.md`: an operator builds on a version that was acknowledged or read back, and
+disks are lost one at a time.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterable, Iterator
+from contextlib import contextmanager
+from random import Random
+from typing import Any
+
+import msgspec
+
+from folio.catalogue.structs import EMPTY, CatalogueError, Configuration
+from folio.circulation.follower import Follower
+from folio.consensus.messages import Change as Entry
+from folio.consensus.messages import Prepare
+from folio.consensus.node import Node, Timing, _Pending, _Round
+from folio.consensus.records import Apply, Taken, Unclear
+from folio.registry.agreement import Agreement
+from folio.registry.machine import Machine as State
+from folio.registry.slips import Slips
+from folio.schedules import Mutant, Report, Violation, play
+from folio.stacks import wire
+from folio.stacks.cell import Machine
+from folio.stacks.day import Deployment, Route, Service, Zone
+from folio.stacks.guise import worn
+from folio.stacks.loop import World
+from folio.stacks.network import Network, Trouble
+from folio.stacks.operator import FINAL
+
+STEPS = 24          # acts of a schedule
+SILENCE = 1.0       # s without an answer after which an operator calls another registry
+APPLY = 2.5         # s within which an acknowledged change is in force at desks in touch
+CALM = 9.0          # s after the last trouble in which the fleet gets over it
+OPERATORS = 8       # orders under way at once
+
+
+class Order(msgspec.Struct, eq=False):
+    """One order of an operator: what it sends, what it makes of its parent, and what it was told.
+
+    `valid` says whether it may be taken where its parent is current; `items` is then the whole configuration.
+    """
+
+    method: str
+    ver: int
+    parent: int
+    body: bytes
+    items: dict[tuple[str, str], Any]
+    valid: bool
+    sent_at: float
+    acked_at: float | None = None
+    refused_at: float | None = None
+    under_way: int = 0      # operators that wait for a clear answer
+
+    def __str__(self) -> str:
+        return f"{self.method} {self.ver:08x} on {self.parent:08x}"
+
+
+class OneWay(Trouble):
+    """A cut of what goes from `one` to `other`; the way back is free."""
+
+    def touches(self, a: str, b: str) -> bool:
+        return a in self.one and (b not in self.one if self.other is None else b in self.other)
+
+
+class Box(Machine):
+    """A machine that runs one process, watched by the fleet."""
+
+    def __init__(self, fleet: Fleet, name: str, ip: str, role: str, disk: bool) -> None:
+        super().__init__(fleet, name, "home", ip, role == "registry", disk)
+        self.role = role
+
+    def roles(self, asked: str) -> list[str]:
+        return [self.role]
+
+    def _begin(self, role: str, process: Any, bootstrap: bool) -> None:
+        super()._begin(role, process, bootstrap)
+        if (daemon := self.daemons.get(role)) is not None:
+            self.cell.watch(self, daemon)
+
+    @property
+    def daemon(self) -> Any:
+        return self.daemons.get(self.role)
+
+
+class Fleet:
+    """Registries, desks and operators, and all that they saw."""
+
+    def __init__(self, seed: int, registries: int, disks: int, desks: int, timing: Timing,
+                 memory: tuple[int, int] | None) -> None:
+        self.world = World(seed)
+        self.rng = Random(f"{seed}/acts")
+        self.timing, self.memory = timing, memory
+        self.deployment = Deployment([Zone("home")], [Service("shelf", 0)], [Route("r", 0.0, "shelf")])
+        self.network = Network(self.world, lambda a, b: 0.001, lambda ip: "home")
+        self.world.outside.loop.network = self.network
+        self.outcomes: Counter = Counter()
+        self.registries = [Box(self, f"r{n}", f"10.1.0.{n + 5}", "registry", n < disks)
+                           for n in range(registries)]
+        self.desks = [Box(self, f"d{n}", f"10.2.0.{n + 5}", "desk", False) for n in range(desks)]
+        self.seeds = [box.ctl for box in self.registries[:3]]
+        self.operators = [self.network.process(f"operator{n}", f"10.251.0.{n + 1}") for n in range(OPERATORS)]
+        self.chosen: dict[int, str] = {}            # tags of entries, by slot
+        self.took: dict[int, Order] = {}            # orders that were chosen, by version, in that order
+        self.orders: dict[bytes, Order] = {}        # by method and body
+        self.acked = 0                              # the newest version that was acknowledged
+        self.acts: dict[str, list[int]] = {}        # versions that each life of a desk acted on
+        self.troubled_at = 0.0                      # the end of the last trouble
+        self.at_answer: Callable[[Box], None] | None = None     # what strikes while an answer is written
+        self.on_ack: Callable[[], None] | None = None
+        self.broken: str | None = None
+        for box in self.registries + self.desks:
+            self.later(self.rng.uniform(0.0, 0.3), box.start, box.role, True)
+
+    # What `play` asks of a world
+
+    @property
+    def now(self) -> float:
+        return self.world.now
+
+    @property
+    def events(self) -> int:
+        return self.world.fired
+
+    # What machines ask of a cell
+
+    def later(self, delay: float, callback: Callable, *args: object) -> None:
+        self.world.at(self.world.now + delay, self.world.outside, callback, args)
+
+    def say(self, event: str, **fields: object) -> None:
+        """What a daemon logs is not kept."""
+
+    # Watching
+
+    def run(self, span: float) -> None:
+        """Let `span` s pass. Raises Violation."""
+        self.world.run(self.world.now + span)
+        if self.broken is None and self.world.failures:
+            self.broken = self.world.failures[0]
+        if self.broken is not None:
+            raise Violation(self.broken)
+
+    def broke(self, text: str) -> None:
+        """The first break of a rule ends the schedule: callbacks can't raise through the daemons."""
+        self.broken = self.broken or text
+
+    def watch(self, box: Box, daemon: Any) -> None:
+        """See what a new process does."""
+        if box.role == "desk":
+            return self._watch_desk(f"{box.name}/{box.lives['desk']}", daemon)
+        daemon.node.timing = self.timing
+        daemon.loans.tick = lambda *_: None     # nothing is lent, and duties are two fifths of the time
+        if self.memory is not None:
+            daemon.machine.recent, daemon.machine.kept = self.memory
+        carry_out = daemon.agreement.applied
+
+        def applied(effect: Apply) -> None:
+            self._applied(effect)
+            carry_out(effect)
+
+        daemon.agreement.applied = applied
+        take = daemon.slips.take
+
+        def answered(ticket: object) -> Any:
+            call = take(ticket)
+            if call is not None and self.at_answer is not None and self.rng.random() < 0.5:
+                strike, self.at_answer = self.at_answer, None
+                strike(box)
+            return call
+
+        daemon.slips.take = answered
+
+    def _watch_desk(self, life: str, daemon: Any) -> None:
+        acts, act = self.acts.setdefault(life, []), daemon.follower.on_table
+
+        def on_table(table: Any) -> None:
+            config = daemon.follower.config
+            if acts and config.ver <= acts[-1]:
+                self.broke(f"desk {life} acts on {config.ver:08x} after {acts[-1]:08x}")
+            acts.append(config.ver)
+            order = self.took.get(config.ver)
+            if order is None:
+                self.broke(f"desk {life} acts on {config.ver:08x}, which was not chosen")
+            elif _meaning(config.dump()) != order.items:
+                self.broke(f"desk {life} acts on something else under {config.ver:08x}")
+            act(table)
+
+        daemon.follower.on_table = on_table
+
+    def _applied(self, effect: Apply) -> None:
+        entry, slot = effect.entry, effect.slot
+        if entry is None:
+            return
+        if slot in self.chosen:
+            if self.chosen[slot] != entry.tag:
+                self.broke(f"slot {slot} has two entries")
+            return
+        self.chosen[slot] = entry.tag
+        if not isinstance(entry, Entry):
+            return
+        order = self.orders[(b"PUT" if entry.whole else b"PATCH") + entry.body]
+        current = next(reversed(self.took), 0)
+        if entry.ver in self.took:
+            self.broke(f"{order} was chosen twice" if self.took[entry.ver] is order
+                       else f"two orders were chosen under {entry.ver:08x}")
+        elif order.parent != current:
+            self.broke(f"{order} was chosen on {current:08x}")
+        elif not order.valid:
+            self.broke(f"{order} is invalid and was chosen")
+        elif order.refused_at is not None:
+            self.broke(f"{order} was refused and is in force")
+        self.took[entry.ver] = order
+
+    # Operators
+
+    def order(self, method: str, ver: int, parent: int, told: dict[str, Any], valid: bool,
+              copies: int = 1, losing: float = 0.0) -> Order:
+        """Send an order; `copies` operators do it at once, and a part `losing` of the answers is lost."""
+        body = msgspec.json.encode({"ver": f"{ver:08x}", "parent": f"{parent:08x}"} | told)
+        base = dict(self.took[parent].items) if parent in self.took else {}
+        if method == "PUT":
+            base = {}
+        items = base | {(one["type"], one["meta"].get("name", "")): one["spec"]
+                        for one in told.get("objs", told.get("upsert", {}).get("objs", []))}
+        order = Order(method, ver, parent, body, items, valid, self.now)
+        order = self.orders.setdefault(method.encode() + body, order)
+        for _ in range(copies):
+            self.send(order, losing)
+        return order
+
+    def send(self, order: Order, losing: float = 0.0) -> None:
+        """An operator sends an order, anew or again, until a clear answer comes."""
+        order.under_way += 1
+        self._call(order, self.rng.choice(self.operators), losing, 0, "")
+
+    def _call(self, order: Order, operator: Any, losing: float, tries: int, avoid: str) -> None:
+        at = self.rng.choice([box for box in self.registries if box.name != avoid])
+
+        def answered(answer: wire.Answer | None) -> None:
+            if answer is not None and tries < 6 and self.rng.random() < losing:
+                answer = None
+            if answer is not None and answer.status == 200:
+                order.under_way -= 1
+                return self._acked(order)
+            if answer is not None and answer.status in FINAL:
+                order.under_way -= 1
+                return self._refused(order, answer.status)
+            self.outcomes["unclear"] += 1
+            self.later(min(1.0, 0.1 * 1.5 ** tries), self._call, order, operator, losing, tries + 1, at.name)
+
+        body = order.body
+        if tries and self.rng.random() < 0.1:
+            # Other bytes of the same content are the same order.
+            body = msgspec.json.format(body, indent=1)
+            self.orders[order.method.encode() + body] = order
+        data = wire.request(order.method, at.ctl, "/-/config", [], body)
+        wire.fetch(operator, at.ctl, data, SILENCE, answered)
+
+    def _acked(self, order: Order) -> None:
+        self.outcomes["taken" if order.acked_at is None else "again"] += 1
+        if not order.valid:
+            self.broke(f"{order} is invalid and was acknowledged")
+        elif order.refused_at is not None:
+            self.broke(f"{order} was refused and then acknowledged")
+        elif self.took.get(order.ver) is not order:
+            self.broke(f"{order} was acknowledged and is not chosen")
+        rival = next((one for one in self.orders.values()
+                      if one is not order and one.parent == order.parent and one.acked_at is not None), None)
+        if rival is not None:
+            self.broke(f"{order} and {rival} were both acknowledged")
+        if order.acked_at is None:
+            order.acked_at = self.now
+            self.later(APPLY, self._in_force, order.ver, self.now)
+        self.acked = max(self.acked, order.ver)
+        if self.rng.random() < 0.3:
+            for box in self.registries:
+                self.read(box)
+        if self.on_ack is not None:
+            self.on_ack()
+
+    def _refused(self, order: Order, status: int) -> None:
+        self.outcomes[f"refused {status}"] += 1
+        if self.took.get(order.ver) is order:
+            self.broke(f"{order} was chosen and then refused with {status}")
+        elif order.valid and not any(ver > order.parent for ver in self.took):
+            self.broke(f"{order} was refused with {status} while {order.parent:08x} was current")
+        order.refused_at = self.now if order.refused_at is None else order.refused_at
+
+    def _in_force(self, ver: int, acked_at: float) -> None:
+        """Desks in touch act on what was acknowledged APPLY s ago, unless there was trouble meanwhile."""
+        if self.troubled_at + CALM > acked_at:
+            return
+        for box in self.desks:
+            if box.daemon is not None and box.daemon.follower.config.ver < ver:
+                self.broke(f"{ver:08x} is not in force at {box.name} {APPLY:g} s after it was acknowledged")
+
+    def read(self, at: Box | None = None) -> None:
+        """Read the configuration back; what comes must hold all that was acknowledged before."""
+        at = at or self.rng.choice(self.registries)
+        floor = self.acked
+
+        def answered(answer: wire.Answer | None) -> None:
+            if answer is None or answer.status != 200:
+                self.outcomes["unread"] += 1
+                return
+            self.outcomes["read"] += 1
+            ver = int(msgspec.json.decode(answer.body)["ver"], 16)
+            if ver < floor:
+                self.broke(f"{ver:08x} was read at {at.name} after {floor:08x} was acknowledged")
+            elif ver and ver not in self.took:
+                self.broke(f"{ver:08x} was read at {at.name} and is not chosen")
+            elif ver and _meaning(answer.body) != self.took[ver].items:
+                self.broke(f"something else was read at {at.name} under {ver:08x}")
+
+        operator = self.rng.choice(self.operators)
+        wire.fetch(operator, at.ctl, wire.request("GET", at.ctl, "/-/config", []), SILENCE, answered)
+
+    # Trouble
+
+    def trouble(self, span: float) -> None:
+        """For the next `span` s nothing is promised in time."""
+        self.troubled_at = max(self.troubled_at, self.now + span)
+
+    def cut(self, trouble: Trouble, span: float) -> None:
+        self.trouble(span)
+        self.network.troubles.append(trouble)
+        self.later(span, self._mend, trouble)
+
+    def _mend(self, trouble: Trouble) -> None:
+        if trouble in self.network.troubles:
+            self.network.troubles.remove(trouble)
+            self.network.look()
+
+    def kill(self, box: Box, span: float) -> None:
+        self.trouble(span)
+        box.kill(box.role)
+        self.later(span, box.start, box.role)
+
+    def freeze(self, box: Box, span: float) -> None:
+        self.trouble(span)
+        if (process := box.processes.get(box.role)) is not None:
+            process.frozen = True
+            self.later(span, process.thaw)
+
+    def power(self, box: Box, span: float, wiped: bool = False) -> None:
+        self.trouble(span)
+        box.power_off()
+        if wiped and box.platter is not None:
+            box.platter.wipe()
+        self.later(span, box.power_on)
+
+    def power_all(self, _: Box | None = None) -> None:
+        for box in self.registries:
+            self.power(box, self.rng.uniform(0.2, 1.0))
+
+
+def _meaning(body: bytes) -> dict[tuple[str, str], Any]:
+    """The items that a whole configuration says, by kind and name."""
+    told = msgspec.json.decode(body)
+    return {(one["type"], one["meta"].get("name", "")): one["spec"] for one in told["objs"]}
+
+
+class _Schedule:
+    """One random schedule: `steps` acts of operators and of fate, then calm and a last look."""
+
+    def __init__(self, seed: int, steps: int) -> None:
+        rng = self.rng = Random(f"{seed}/orders")
+        self.steps = steps
+        registries = rng.choice((3, 3, 4, 5, 6))
+        disks = rng.choice((3, registries))
+        timing = Timing(poll_all=False, keep=rng.choice((4, 16, 64)))
+        # Some schedules are long, some have registries that soon forget.
+        self.long = rng.random() < 0.04
+        memory = (rng.choice((2, 4)), rng.choice((0, 3))) if rng.random() < 0.25 and not self.long else None
+        self.world = Fleet(seed, registries, disks, rng.choice((1, 1, 2)), timing, memory)
+        self.forgets = memory is not None
+        self.last = 0           # the newest number that an operator used
+        self.wiped_at = -1e9
+
+    def play(self) -> None:
+        """Play it to its end; raises Violation."""
+        with worn(self.world.world, self.world.say):
+            self._play()
+
+    def _play(self) -> None:
+        fleet, rng = self.world, self.rng
+        fleet.run(2.0)
+        fleet.on_ack = self._follow
+        self._first()
+        fleet.run(1.5)
+        for step in range(self.steps):
+            rng.choice(self._ACTS)(self)
+            fleet.run(rng.choice((0.01, 0.05, 0.3, 1.0, 2.0)))
+            if self.long and step == self.steps // 2:
+                self._many()
+        fleet.at_answer = fleet.on_ack = None
+        for trouble in list(fleet.network.troubles):
+            fleet._mend(trouble)
+        fleet.run(max(0.0, fleet.troubled_at - fleet.now) + CALM)
+        self._end()
+
+    def _end(self) -> None:
+        """In calm times every order gets its answer, and all registries and desks say the same."""
+        fleet = self.world
+        for order in list(fleet.orders.values()):
+            if order.under_way and not self.forgets:
+                raise Violation(f"{order} has no clear answer in calm times")
+        for box in fleet.registries:
+            fleet.read(box)
+        unread = fleet.outcomes["unread"]
+        for order in list(fleet.took.values())[-12:]:
+            fleet.send(order)
+        fleet.run(1.0)
+        if fleet.outcomes["unread"] > unread:
+            raise Violation("the configuration can't be read in calm times")
+        order = self._change(valid=True)
+        fleet.run(APPLY)
+        if order.acked_at is None:
+            raise Violation("a change is not taken in calm times")
+        for box in fleet.desks:
+            if box.daemon.follower.config.ver != order.ver:
+                raise Violation(f"{box.name} does not follow in calm times")
+
+    # What operators do
+
+    def _first(self) -> None:
+        self.last = 1
+        objs = [_item("svcs", name, {"hc_path": "/healthz"}) for name in ("a", "b")]
+        objs += [_item("routes", f"r{n}", _route(f"r{n}", "a")) for n in range(3)]
+        self.world.order("PUT", 1, 0, {"objs": objs}, True)
+
+    def _known(self) -> int:
+        """The version that operators build on: the newest acknowledged."""
+        return self.world.acked
+
+    def _change(self, valid: bool, ver: int | None = None, parent: int | None = None, copies: int = 1,
+                losing: float = 0.0) -> Order:
+        """An order unlike all others."""
+        fleet, rng = self.world, self.rng
+        parent = self._known() if parent is None else parent
+        if ver is None:
+            self.last = ver = max(self.last, parent) + rng.choice((1, 1, 2))
+        name = f"r{rng.randrange(4)}"
+        spec = _route(name, rng.choice("ab"), f"{rng.randrange(1, 500_000)}ms")
+        if not valid:
+            spoiled = rng.randrange(5)
+            if spoiled == 0:
+                spec["svc"] = "nobody"
+            elif spoiled == 1:
+                spec["timeout"] = "600001ms"
+            elif spoiled == 2:
+                spec["split"] = [{"svc": "a", "wt": -1}, {"svc": "b", "wt": 2}]
+            elif spoiled == 3:
+                spec["split"] = [{"svc": "a", "wt": 0}]
+            else:
+                ver = rng.randrange(parent + 1)
+        item = _item("routes", name, spec)
+        if parent in fleet.took and rng.random() < 0.7:
+            return fleet.order("PATCH", ver, parent, {"upsert": {"objs": [item]}}, valid, copies, losing)
+        objs = [_item("svcs", svc, {"hc_path": "/healthz"}) for svc in ("a", "b")]
+        return fleet.order("PUT", ver, parent, {"objs": [*objs, item]}, valid, copies, losing)
+
+    def _follow(self) -> None:
+        """An operator may go on at once."""
+        if self.rng.random() < 0.15:
+            self._change(True)
+
+    def _race(self) -> None:
+        """Up to eight operators build on one version, many under one number."""
+        self.last = max(self.last, self._known()) + 1
+        ver = self.last
+        for _ in range(self.rng.choice((2, 3, OPERATORS))):
+            if self.rng.random() < 0.7:
+                self._change(self.rng.random() < 0.9, ver, losing=self.rng.choice((0.0, 0.3)))
+            else:
+                self._change(self.rng.random() < 0.9)
+
+    def _lossy(self) -> None:
+        """An order whose answers are lost, so that it comes again; some of them from two at once."""
+        self._change(True, copies=self.rng.choice((1, 1, 2, 3)), losing=0.7)
+
+    def _spoiled(self) -> None:
+        self._change(False)
+
+    def _resend(self) -> None:
+        """An order that was taken, or one that was refused, is sent again as it was."""
+        orders = [one for one in self.world.orders.values() if one.acked_at or one.refused_at]
+        taken = [one for one in orders if one.acked_at]
+        if taken and self.rng.random() < 0.8:
+            orders = taken[-1:] if self.rng.random() < 0.4 else taken
+        for _ in range(self.rng.choice((1, 2)) if orders else 0):
+            self.world.send(self.rng.choice(orders))
+
+    def _stale(self) -> None:
+        """An order on a version that is current no more, or never was."""
+        known = list(self.world.took)
+        if len(known) > 1:
+            self._change(True, parent=self.rng.choice(known[:-1]))
+
+    def _read(self) -> None:
+        for _ in range(6):
+            self.world.later(self.rng.uniform(0.0, 0.3), self.world.read)
+
+    def _many(self) -> None:
+        """Hundreds of changes, one after the other, and then the first ones again."""
+        fleet = self.world
+        old = [one for one in fleet.orders.values() if one.acked_at]
+        for _ in range(300):
+            self._change(True)
+            fleet.run(0.05)
+        for order in old[:20]:
+            fleet.send(order)
+        fleet.run(1.0)
+
+    # What befalls them
+
+    def _registry(self) -> Box:
+        return self.rng.choice(self.world.registries)
+
+    def _cut(self) -> None:
+        fleet, rng, one = self.world, self.rng, self._registry()
+        ips = [box.ip for box in fleet.registries + fleet.desks if box is not one]
+        # Operators reach it all the same, mostly.
+        part = rng.choice((1.0, 0.6))
+        others = None if rng.random() < 0.2 else frozenset(ip for ip in ips if rng.random() < part)
+        kind = rng.choice((Trouble, OneWay, OneWay))
+        ends = (frozenset((one.ip,)), others)
+        if kind is OneWay and others and rng.random() < 0.5:
+            ends = (others, frozenset((one.ip,)))
+        fleet.cut(kind(*ends, cut=True), rng.choice((0.5, 2.0, 5.0, 20.0)))
+
+    def _slow_links(self) -> None:
+        """What a registry says and hears is slow; it is asked all the time meanwhile."""
+        fleet, rng, box = self.world, self.rng, self._registry()
+        peers = frozenset(other.ip for other in fleet.registries)
+        harm = Trouble(frozenset((box.ip,)), peers, delay=rng.choice((0.02, 0.1, 0.3)), loss=0.02)
+        fleet.cut(harm, rng.choice((1.0, 5.0)))
+        for step in range(10):
+            fleet.later(0.06 * step, fleet.read, box)
+        self._change(True)
+
+    def _cut_operators(self) -> None:
+        """Answers of a registry don't come, or nothing passes; the registries see each other."""
+        fleet, rng = self.world, self.rng
+        operators = frozenset(process.ip for process in fleet.operators if rng.random() < 0.7)
+        ends = (frozenset((self._registry().ip,)), operators)
+        fleet.cut(rng.choice((Trouble, OneWay))(*ends, cut=True), rng.choice((0.3, 1.5, 4.0)))
+
+    def _kill(self) -> None:
+        self.world.kill(self._registry(), self.rng.choice((0.05, 0.5, 3.0)))
+
+    def _freeze(self) -> None:
+        self.world.freeze(self._registry(), self.rng.choice((0.3, 1.2, 4.0, 20.0)))
+
+    def _stop(self) -> None:
+        fleet, box = self.world, self._registry()
+        fleet.trouble(fleet.deployment.bounds.grace + 1.0)
+        box.terminate(box.role, self.rng.choice((0.1, 1.0)))
+
+    def _disk(self) -> None:
+        """A disk hangs, is slow or refuses writes."""
+        fleet, rng, span = self.world, self.rng, self.rng.choice((0.1, 1.0, 5.0))
+        platter, kind = self._registry().platter, rng.randrange(3)
+        if platter is None:
+            return
+        fleet.trouble(span)
+        if kind == 0:
+            platter.hangs_until = fleet.now + span
+        elif kind == 1:
+            platter.slow = rng.choice((10.0, 200.0))
+            fleet.later(span, setattr, platter, "slow", 1.0)
+        else:
+            platter.full = True
+            fleet.later(span, setattr, platter, "full", False)
+
+    def _power(self) -> None:
+        self.world.power(self._registry(), self.rng.choice((0.3, 3.0)))
+
+    def _power_all(self) -> None:
+        self.world.power_all()
+
+    def _strike(self) -> None:
+        """Right after the next answer is written all lose power, or the one that wrote it is gone.
+
+        With some of them nobody else has heard yet that the order was taken.
+        """
+        fleet, rng = self.world, self.rng
+        away, told = rng.choice((0.3, 2.0)), rng.random() < 0.4
+        strike = rng.choice((fleet.power_all, lambda box: fleet.power(box, away), self._wiped,
+                             lambda box: fleet.kill(box, away), lambda box: None))
+
+        def at_answer(box: Box) -> None:
+            if not told:
+                others = frozenset(other.ip for other in fleet.registries if other is not box)
+                fleet.cut(OneWay(frozenset((box.ip,)), others, cut=True), away)
+            fleet.later(0.0, strike, box)
+
+        fleet.at_answer = at_answer
+
+    def _wipe(self) -> None:
+        self._wiped(self._registry())
+
+    def _wiped(self, box: Box) -> None:
+        """One at a time, and not while another is away: what a majority lost is lost."""
+        fleet = self.world
+        if fleet.now >= max(fleet.troubled_at, self.wiped_at) + CALM:
+            self.wiped_at = fleet.now
+            fleet.power(box, self.rng.choice((0.3, 2.0)), wiped=True)
+
+    def _desk_away(self) -> None:
+        fleet, rng = self.world, self.rng
+        desk = rng.choice(fleet.desks)
+        if rng.random() < 0.3:
+            fleet.kill(desk, 0.5)
+        else:
+            fleet.cut(Trouble(frozenset((desk.ip,)), cut=True), rng.choice((1.0, 4.0)))
+
+    def _calm(self) -> None:
+        self.world.run(max(0.0, self.world.troubled_at - self.world.now) + CALM)
+
+    _ACTS = (_race, _race, _race, _lossy, _lossy, _lossy, _spoiled, _resend, _resend, _resend, _stale, _read,
+             _read, _read, _cut, _cut, _cut_operators, _slow_links, _slow_links, _kill, _freeze, _stop, _disk,
+             _power, _power_all, _strike, _strike, _wipe, _desk_away, _calm)
+
+
+def _item(kind: str, name: str, spec: dict[str, Any]) -> dict[str, Any]:
+    return {"type": kind, "meta": {"name": name}, "spec": spec}
+
+
+def _route(name: str, svc: str, timeout: str = "1000ms") -> dict[str, Any]:
+    return {"vhost": "stacks.example", "prefix": f"/{name}/", "kind": "safe", "timeout": timeout, "svc": svc}
+
+
+def run(seeds: Iterable[int], steps: int = STEPS) -> Report:
+    """Play one random schedule of `steps` acts for each seed."""
+    report = Report()
+    play(seeds, lambda seed: _Schedule(seed, steps), report)
+    return report
+
+
+# Mutants: the daemons' code without one of its guards.
+
+_judge, _learn, _on_accept, _on_promise = Node._judge, Node._learn, Node._on_accept, Node._on_promise
+_on_read_reply, _on_snapshot, _answer = Node._on_quorum_read_reply, Node._on_snapshot, Agreement._answer
+_apply, _verdict, _ticket, _round = State.apply, State.verdict, _Pending.__init__, _Round.__init__
+_state, _step, _take = Follower._state, Follower._step, Follower._take
+
+
+def _forgetting(self: State, slot: int, entry: object) -> None:
+    _apply(self, slot, entry)
+    self.taken, self.earlier, self.forgotten = {}, {}, 0
+
+
+def _short(self: State) -> None:
+    while len(self.taken) > self.recent:
+        del self.taken[next(iter(self.taken))]
+
+
+def _snapshot_without(self: State) -> bytes:
+    return msgspec.msgpack.encode((self.config.dump(), [], b"", 0))
+
+
+def _never_unsure(self: State, change: Any, tag: str) -> Any:
+    was, self.forgotten = self.forgotten, 0
+    try:
+        return _verdict(self, change, tag)
+    finally:
+        self.forgotten = was
+
+
+def _unjudged(status: int) -> Callable:
+    def verdict(self: State, change: Any, tag: str) -> Any:
+        told = _verdict(self, change, tag)
+        if getattr(told, "status", 0) != status:
+            return told
+        return Entry(tag, change.ver, change.parent, change.whole, change.body, change.digest)
+    return verdict
+
+
+def _apply_unguarded(self: State, slot: int, entry: object) -> None:
+    if isinstance(entry, Entry):
+        Configuration.from_change(self.config, entry.whole, entry.body)
+    _apply(self, slot, entry)
+
+
+def _confirmed(reads: bool) -> Callable:
+    def begin(self: _Pending, ticket: Any, judge: Any, seq: int, deadline: float) -> None:
+        _ticket(self, ticket, judge, seq, deadline)
+        self.confirmed = (judge is None) == reads
+    return begin
+
+
+def _confirm_all(self: Node, seq: int) -> None:
+    for pending in self._pending:
+        pending.confirmed = True
+
+
+def _confirm_held(self: Node, sender: str, message: Any, out: list) -> None:
+    current = self._answers(message, Prepare)
+    if current is not None and len({*current.got, message.voter}) >= current.need:
+        self._confirm(current.seq)
+    _on_promise(self, sender, message, out)
+
+
+def _never_busy(self: Node, sender: str, message: Any, out: list) -> None:
+    _on_read_reply(self, sender, msgspec.structs.replace(message, busy=False), out)
+
+
+def _judged_once(self: Node, pending: _Pending) -> Any:
+    if pending.at >= 0:
+        pending.at = self.last
+    return _judge(self, pending)
+
+
+def _whoever_won(self: Node, entries: list, out: list) -> None:
+    for pending in self._pending:
+        if pending.proposed == self.last + 1:
+            pending.tags.add(entries[0].tag)
+    _learn(self, entries, out)
+
+
+def _vote_is_choice(self: Node, sender: str, message: Any, out: list) -> None:
+    _on_accept(self, sender, message, out)
+    if message.slot == self.last + 1:
+        self._learn([message.entry], out)
+
+
+def _jumped(self: Node, sender: str, message: Any, out: list) -> None:
+    for pending in self._pending:
+        pending.proposed = 0
+    _on_snapshot(self, sender, message, out)
+
+
+def _one_is_enough(self: _Round, slot: int, message: Any, seq: int, voters: list) -> None:
+    _round(self, slot, message, seq, voters)
+    self.need = 1
+
+
+def _told(outcome: Any) -> Callable:
+    def answer(self: Agreement, effect: Any) -> None:
+        unclear = isinstance(effect.outcome, Unclear)
+        _answer(self, msgspec.structs.replace(effect, outcome=outcome) if unclear else effect)
+    return answer
+
+
+def _few_numbers(self: Slips) -> int:
+    self._last = (self._last + 1) % 3
+    return self._last
+
+
+def _looked_up(self: Slips, ticket: object) -> Any:
+    return self._waiting.get(ticket)
+
+
+def _any_state(self: Follower, message: Any) -> None:
+    self.slot = min(self.slot, message.slot - 1)
+    _state(self, message)
+
+
+def _any_step(self: Follower, message: Any) -> None:
+    if message.slot > self.slot:
+        self.slot = message.slot - 1
+    _step(self, message)
+
+
+def _act_always(self: Follower, slot: int, config: Configuration) -> None:
+    if config is not self.config and config.ver == self.config.ver:
+        self.config = EMPTY
+    _take(self, slot, config)
+
+
+@contextmanager
+def _without(owner: type, name: str, mutated: Callable) -> Iterator[None]:
+    """The code with one function in place of another."""
+    before = getattr(owner, name)
+    setattr(owner, name, mutated)
+    try:
+        yield
+    finally:
+        setattr(owner, name, before)
+
+
+def _mutant(guard: str, owner: type, name: str, mutated: Callable, seed: int | None = None,
+            why: str = "") -> Mutant:
+    def played(seeds: Iterable[int]) -> Report:
+        with _without(owner, name, mutated):
+            return run(seeds)
+
+    return Mutant(guard, played, seed, why)
+
+
+MUTANTS = (
+    _mutant("memory of what was taken", State, "apply", _forgetting, 0),
+    _mutant("memory of what was taken before the last few", State, "_trim", _short, 4),
+    _mutant("memory in snapshots", State, "take", _snapshot_without, 1),
+    _mutant("no clear answer on what is forgotten", State, "verdict", _never_unsure, 4),
+    _mutant("the parent is compared", State, "verdict", _unjudged(412), 0),
+    _mutant("the content is judged", State, "verdict", _unjudged(400), 0),
+    _mutant("an entry that can't be read is left out", State, "apply", _apply_unguarded,
+            why="needless among processes of one version: who proposes has judged by the same code"),
+    _mutant("a majority's word before a refusal", _Pending, "__init__", _confirmed(False), 5),
+    _mutant("a majority's word before a read", _Pending, "__init__", _confirmed(True), 0),
+    _mutant("a majority's word for later tickets", Node, "_confirm", _confirm_all, 46),
+    _mutant("no refusal while a vote is held", Node, "_on_promise", _confirm_held, 58),
+    _mutant("no answer to a read while a vote is held", Node, "_on_quorum_read_reply", _never_busy, 27),
+    _mutant("majorities", _Round, "__init__", _one_is_enough, 0),
+    _mutant("judged anew at each slot", Node, "_judge", _judged_once, 0),
+    _mutant("the tag tells whose entry won", Node, "_learn", _whoever_won, 0),
+    _mutant("a vote is no choice", Node, "_on_accept", _vote_is_choice, 3),
+    _mutant("unclear after a snapshot", Node, "_on_snapshot", _jumped,
+            why="needless for orders: the digest in the snapshot tells; entries without one need it"),
+    _mutant("unclear is no refusal", Agreement, "_answer", _told(CatalogueError(412, "", "late")), 2),
+    _mutant("unclear is no acknowledgement", Agreement, "_answer", _told(Taken(0)), 0),
+    _mutant("each ticket has a number of its own", Slips, "number", _few_numbers, 0),
+    _mutant("a ticket is answered once", Slips, "take", _looked_up,
+            why="second line: the node settles a ticket once, and a call drops a second answer"),
+    _mutant("a desk takes no older state", Follower, "_state", _any_state, 1),
+    _mutant("a desk takes steps in turn", Follower, "_step", _any_step,
+            why="second line: a registry sends a desk only the step next to its place, else the whole state"),
+    _mutant("a desk acts once on a version", Follower, "_take", _act_always, 74),
+)
--- a/tests/folio/test_check_orders.py
+++ b/tests/folio/test_check_orders.py
@@ -1,12 +1,16 @@
-"""Orders: what the state remembers of taken changes."""
+"""Orders: what the state remembers of taken changes, and the model check that plays operators."""
 
 import unittest
+from pathlib import Path
 
 import msgspec
 
 from folio.catalogue.structs import CatalogueError, parse_change
 from folio.consensus.messages import Change as Entry
+from folio.reference.model_check import known
 from folio.registry.machine import EARLIER, RECENT, Again, Forgotten, Machine, Taken
+from folio.stacks import cell, check_orders
+from folio.stacks.day import read
 
 
 def order(ver, parent, name="a"):
@@ -83,5 +87,31 @@
             Machine().give(msgspec.msgpack.encode((order(1, 0).body, [], b"short", 0)))
 
 
+class DayTest(unittest.TestCase):
+    def test_operators_race_on_a_day_whose_answers_get_lost(self):
+        day = read(Path(__file__).parents[2] / "examples" / "racing-operators.toml")
+        day.length = 14.0
+        day.faults = [fault for fault in day.faults if fault.at < 12.0]
+        told, _ = cell.play(day, 1)
+        self.assertEqual((told.rules, told.failures, told.unacked), ({}, [], 0))
+        self.assertGreaterEqual(len(told.acks), 6)
+
+
+class CheckTest(unittest.TestCase):
+    def test_nothing_breaks(self):
+        report = check_orders.run(range(6))
+        self.assertEqual(report.violations, [])
+        for outcome in ("taken", "again", "unclear", "refused 400", "refused 412", "read"):
+            self.assertGreater(report.outcomes[outcome], 10, outcome)
+
+    def test_each_known_mutant_is_found_at_its_seed(self):
+        for mutant, violations in known("orders"):
+            self.assertTrue(violations, mutant.guard)
+
+    def test_a_mutant_without_a_seed_says_why(self):
+        for mutant in check_orders.MUTANTS:
+            self.assertTrue(mutant.seed is not None or mutant.why, mutant.guard)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/folio/test_follower.py
+++ b/tests/folio/test_follower.py
@@ -55,7 +55,7 @@
             body = f'{{"ver":"{ver:08x}","parent":"00000000","objs":[]}}'.encode()
             follower._heard(link, m.State(slot, m.pack(body)))
 
-        for slot, ver in ((3, 1), (5, 1), (4, 2), (6, 2), (8, 2)):
+        for slot, ver in ((3, 1), (5, 1), (7, 2), (6, 1), (8, 2)):
             state(slot, ver)
         follower._heard(link, m.Step(9))
         self.assertEqual((acted, follower.slot), ([1, 2], 9))
