--- a/folio/reference/model_check.py
+++ b/folio/reference/model_check.py
@@ -28,6 +28,7 @@
     "catchup": "folio.consensus.check_catchup",
     "membership": "folio.consensus.check_membership",
     "orders": "folio.stacks.check_orders",
+    "cutoff": "folio.stacks.check_cutoff",
 }
 GROUPS = {"both": ("agreement", "lending"), "all": tuple(PARTS)}
 CHUNK = 8       # schedules that a process plays before it is given more
--- /dev/null
+++ b/folio/stacks/check_cutoff.py
@@ -0,0 +1,739 @@
+"""Model check of registries that are cut off: the real daemons in the emulator, and all who call them.
+
+`run` plays seeded schedules. Registries are cut off for up to twenty seconds, from all machines or from the
+other registries only, both ways or one; they flap, and stand still; two, or a whole zone, may be hit at once.
+Meanwhile operators order, race each other, read back, retire and look, servers come, beat and drain, desks
+start anew and lose their sessions, and a part of all calls goes to the registries that are hit. Which packets
+get through is known by the world, not by the daemons. It watches that
+
+- a registry that had no round trip to a majority of the voters during a call neither confirms nor refuses:
+  no 200 for an order, a drain or a retirement, no refusal of a valid one, no configuration handed out; what
+  it shows for an operator's eyes says how old it is, and no server is called safe to switch off;
+- a beat is not acknowledged by a registry that has been out of touch for longer than its proof lasts;
+- what was acknowledged anywhere is known to each desk that has been in touch for long enough;
+- a desk never goes back: neither in the configuration, nor to a server that it knew to leave, nor to a lower
+  fence; the shares of all desks sum to no more than the reserve leaves;
+- a desk whose registry is out of touch has a session with one that is within REJOIN seconds, where it reaches
+  one; one that starts is not ready on the word of a registry out of touch;
+- a server whose beats come to registries in touch is not called silent by others in touch;
+- the rules of the emulator's judge hold.
+
+Times are seconds of the virtual clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from contextlib import ExitStack
+from random import Random
+from typing import Any
+from unittest import mock
+
+import msgspec
+
+from folio import clock
+from folio.accession import quorum
+from folio.accession.retiring import Memory
+from folio.catalogue.structs import EMPTY, Configuration
+from folio.circulation import follower as following
+from folio.circulation.follower import Follower
+from folio.consensus.node import _Pending
+from folio.lending.slices import PARTS, Holdings
+from folio.membership import detector
+from folio.membership.detector import Detector
+from folio.membership.duties import Duties
+from folio.registry import reports
+from folio.registry.desks import Desks
+from folio.registry.peers import Peers
+from folio.schedules import Course, Mutant, Report, Violation, play
+from folio.stacks import day as days
+from folio.stacks import wire
+from folio.stacks.cell import Cell
+from folio.stacks.guise import worn
+from folio.stacks.network import Trouble
+from folio.transport import messages as m
+
+STEPS = 20          # seconds that the registries are hit for, at most
+SETTLE = 5.0        # s until the first fault
+CALM = 9.0          # s without faults at the end
+SAMPLE = 0.05       # s between two looks at the desks
+REJOIN = 5.0        # s within which a desk is with a registry in touch, once links have stopped changing
+KNOWN = 2.5         # s from then on, or from an acknowledgement, until a desk knows of it
+PROOF = 1.6         # s that a beat may be acknowledged on the strength of an earlier round trip
+HEARD = 2.0         # s after a beat that registries in touch have taken in which a server is no silent one
+UNHEARD = 1.2       # s for which it may be called so all the same
+SHARES = 0.65 + 1e-9    # of a quota that desks may have in use: the rest is the reserve's
+CALLS = 0.35        # s between calls of the prober, in the mean
+FRESH = frozenset(("config_get", "config_change", "retire", "drain", "leave"))
+CLEAR = frozenset((200, 400, 404, 409, 412, 413, 422))
+
+
+class CutoffReport(Report):
+    """What was played; `moves` are the s that desks took to a registry in touch, once links stood still."""
+
+    moves: list[float] = []
+    calls: int = 0
+    cut_calls: int = 0      # of them those that came to a registry without a round trip to a majority
+
+    def merge(self, other: Report) -> None:
+        """Add what another process has played."""
+        super().merge(other)
+        self.moves = self.moves + other.moves
+        self.calls += other.calls
+        self.cut_calls += other.cut_calls
+
+
+class State(msgspec.Struct):
+    """Who reaches whom since `at`."""
+
+    at: float
+    blocked: frozenset[tuple[str, str]]
+    stopped: frozenset[str]     # processes, by name up to the life
+
+
+class _Cell(Cell):
+    """A small gateway in which some of the calls go to the registries that are hit."""
+
+    hit: list[str] = []
+
+    def a_registry(self, rng: Random, avoid: str = "") -> str:
+        if self.hit and rng.random() < 0.4:
+            return rng.choice(self.hit)
+        return super().a_registry(rng, avoid)
+
+    @property
+    def now(self) -> float:
+        return self.world.now
+
+
+def _day(seed: int) -> days.Day:
+    """Three or four registries, three of them with a vote, and a desk on each of four or five machines."""
+    zones = [{"name": "a", "machines": 2, "registries": 1, "disks": 1},
+             {"name": "b", "machines": 1, "registries": 1, "disks": 1},
+             {"name": "c", "machines": 1, "registries": 1, "disks": 1}]
+    if seed % 3 == 1:       # all in one zone
+        zones = [{"name": "a", "machines": 4, "registries": 3, "disks": 3}]
+    elif seed % 3 == 2:     # a zone with two registries, of which one has a vote, and a desk beside them
+        zones[0] = {"name": "a", "machines": 3, "registries": 2, "disks": 1}
+    return days.build({
+        "name": "cutoff", "length": 1.0, "settle": SETTLE,
+        "deployment": {
+            "zones": zones, "hb": 1.0,
+            "services": [{"name": "loans", "servers": 5, "slots": 4}, {"name": "maps", "servers": 3}],
+            "routes": [{"name": "look", "svc": "loans", "rate": 4.0, "work": 0.02},
+                       {"name": "seek", "svc": "maps", "rate": 0.0}],
+            "tenants": [{"name": "north", "rate": 40.0, "burst": 40.0}],
+        }})
+
+
+class _Schedule:
+    """One random schedule."""
+
+    def __init__(self, seed: int, span: int, report: CutoffReport) -> None:
+        self.report, self.rng = report, Random(f"cutoff/{seed}")
+        day = _day(seed)
+        day.length = span + CALM
+        self.span = float(span)
+        self.cell = _Cell(day, seed)
+        self.world = Course(seed)   # what the report reads off; time is kept by the cell
+        self.network = self.cell.network
+        self.registries = {machine.ctl: machine for machine in self.cell.control}
+        self.ips = [machine.ip for machine in self.cell.machines]
+        self.found: list[str] = []
+        self.states = [State(0.0, frozenset(), frozenset())]
+        self.seen: dict[tuple[str, int], dict[str, Any]] = {}
+        self.moving: dict[str, float] = {}
+        self.disturbed: dict[str, float] = {}   # desks, by when their session was last reset
+        self.quiet: dict[tuple[str, str], float] = {}
+        self.beaten: dict[str, float] = {}      # servers, by their newest beat where a majority was in touch
+        self.retired: dict[str, float] = {}
+        self.ends = SETTLE + self.span
+
+    # Playing
+
+    def play(self) -> None:
+        """Play it to its end; raises Violation."""
+        cell = self.cell
+        try:
+            with worn(cell.world, cell.say), mock.patch.object(wire, "fetch", self._fetching(wire.fetch)):
+                self._plan()
+                self._run(cell.load_ends + 2.5)
+                cell.operator.read_back()
+                self._run(cell.now + 1.0)
+                cell.judge.finish(cell.operator.read)
+        finally:
+            self.world.now, self.world.events = cell.now, cell.world.fired
+        if cell.world.failures:
+            raise Violation(cell.world.failures[0])
+        if cell.judge.told:
+            raise Violation(f"the judge: {cell.judge.told[0]}")
+
+    def _run(self, until: float) -> None:
+        """Let time go by, and end early where something has been found."""
+        while self.cell.now < until:
+            self.cell.world.run(min(until, self.cell.now + 0.5))
+            if self.found:
+                raise Violation(self.found[0])
+
+    def _broken(self, text: str) -> None:
+        # Not raised at once: parsers and loops between here and the schedule would swallow it.
+        self.found.append(f"t={self.cell.now:.3f} {text}")
+
+    def _plan(self) -> None:
+        cell, rng = self.cell, self.rng
+        later = cell.later
+        later(SETTLE - 1.0, self._look)
+        main = rng.choice((self._cut, self._cut, self._cut_registries, self._cut_registries, self._one_way,
+                           self._one_way, self._flap, self._freeze, self._freeze, self._two, self._zone,
+                           self._zone))
+        later(SETTLE, main, self._registries(1), self.span)
+        if rng.random() < 0.5:
+            begins = rng.uniform(0.0, self.span - 2.0)
+            other = rng.choice((self._cut, self._cut_registries, self._one_way, self._flap, self._freeze,
+                                self._desk_links))
+            span = min(rng.choice((0.5, 2.0, 6.0, 12.0)), self.span - begins)
+            later(SETTLE + begins, other, self._registries(1), span)
+        at = SETTLE - 0.5
+        while at < self.ends + 1.0:
+            later(at, rng.choice((self._get, self._get, self._order, self._race, self._drain, self._retire,
+                                  self._retire_most, self._join, self._show, self._show,
+                                  self._restart_desk)))
+            at += rng.expovariate(1.0 / CALLS)
+
+    def _registries(self, count: int) -> list:
+        return self.rng.sample(self.cell.control, count)
+
+    # Faults
+
+    def _harm(self, machines: list, span: float, *troubles: Trouble) -> None:
+        cell = self.cell
+        cell.hit = [*cell.hit, *(m.ctl for m in machines if m.serves_control)]
+        cell.judge.trouble([], cell.now, cell.now + span)
+        self.network.troubles += troubles
+        self._changed()
+        cell.later(span, self._mend, machines, troubles)
+
+    def _mend(self, machines: list, troubles: tuple) -> None:
+        for trouble in troubles:
+            self.network.troubles.remove(trouble)
+        for machine in machines:
+            if machine.ctl in self.cell.hit:
+                self.cell.hit.remove(machine.ctl)
+        self.network.look()
+        self._changed()
+
+    def _cut(self, hit: list, span: float) -> None:
+        """From all machines, servers and callers aside."""
+        self._harm(hit, span, Trouble(frozenset(m.ip for m in hit), frozenset(self.ips), cut=True))
+
+    def _cut_registries(self, hit: list, span: float) -> None:
+        """From the other registries; desks still reach it, unless they share a machine with one of those."""
+        others = frozenset(m.ip for m in self.cell.control if m not in hit)
+        self._harm(hit, span, Trouble(frozenset(m.ip for m in hit), others, cut=True))
+
+    def _one_way(self, hit: list, span: float) -> None:
+        """What it sends, or what it is sent, is lost: between it and all machines, or registries alone."""
+        others = frozenset(self.ips)
+        if self.rng.random() < 0.5:
+            others = frozenset(m.ip for m in self.cell.control if m not in hit)
+        way = self.rng.choice(("in", "out"))
+        self._harm(hit, span, Trouble(frozenset(m.ip for m in hit), others, cut=True, way=way))
+
+    def _zone(self, hit: list, span: float) -> None:
+        """All registries of a zone stand still, or desks elsewhere don't reach them."""
+        zone = [m for m in self.cell.control if m.zone == "a"]
+        if len(zone) == len(self.cell.control):
+            zone = hit
+        self.rng.choice((self._freeze, self._freeze, self._desk_links))(zone, span)
+
+    def _two(self, hit: list, span: float) -> None:
+        self._cut_registries([*hit, self.rng.choice([m for m in self.cell.control if m not in hit])], span)
+
+    def _flap(self, hit: list, span: float) -> None:
+        turn, at = self.rng.choice((0.2, 0.6, 1.3, 2.5)), 0.0
+        trouble = Trouble(frozenset(m.ip for m in hit), frozenset(self.ips), cut=True)
+        while at + turn <= span:
+            self.cell.later(at, self._harm, hit, turn, trouble)
+            at += 2.0 * turn
+
+    def _desk_links(self, hit: list, span: float) -> None:
+        """Between desks and a registry, one way or both."""
+        way = self.rng.choice(("in", "out", "both"))
+        desks = frozenset(m.ip for m in self.cell.machines if not m.serves_control)
+        self._harm(hit, span, Trouble(frozenset(m.ip for m in hit), desks, cut=True, way=way))
+
+    def _freeze(self, hit: list, span: float) -> None:
+        """Registries stand still; desks on their machines don't."""
+        processes = [m.processes["registry"] for m in hit if "registry" in m.processes]
+        for process in processes:
+            process.frozen = True
+        self._harm(hit, span)
+        self.cell.later(span, self._thaw, processes)
+        for machine in self.cell.machines:      # they come to it just before it goes on
+            begins = span - self.rng.uniform(0.0, 1.2)
+            if begins > 1.0:
+                self.cell.later(begins, self.rng.choice((self._reset, self._restart, self._stay)), machine)
+
+    def _reset(self, machine: Any) -> None:
+        """The session of a desk is reset."""
+        daemon, process = machine.daemons.get("desk"), machine.processes.get("desk")
+        if daemon is not None and daemon.follower.link is not None:
+            self.disturbed[machine.name] = self.cell.now
+            process.loop.call_soon(daemon.follower.link.close)
+
+    def _stay(self, machine: Any) -> None:
+        """Nothing happens to a desk."""
+
+    def _thaw(self, processes: list) -> None:
+        for process in processes:
+            process.thaw()
+        self._changed()
+
+    def _changed(self) -> None:
+        network = self.network
+        pairs = [(a, b) for a in self.ips for b in self.ips if a != b and network.blocked(a, b)]
+        stopped = [process.name.partition("/")[0] for machine in self.cell.machines
+                   for process in machine.processes.values() if process.frozen]
+        self.states.append(State(self.cell.now, frozenset(pairs), frozenset(stopped)))
+        self.moving.clear()
+
+    # Calls
+
+    def _get(self) -> None:
+        self._call("GET", "/-/config")
+
+    def _order(self) -> None:
+        """A change of a route, as by an operator who goes on until it is clear what became of it."""
+        operator = self.cell.operator
+        if len(operator.queue) < 3:
+            self._change(False)
+
+    def _race(self) -> None:
+        if len(self.cell.operator.queue) < 3:
+            self._change(True)
+
+    def _change(self, race: bool) -> None:
+        operator = self.cell.operator
+
+        def send() -> None:
+            spec = operator.spec("routes", "seek") | {"prio": 1 + operator.last % 2}
+            operator._send("PATCH", {("routes", "seek"): {
+                "type": "routes", "meta": {"name": "seek"}, "spec": spec}}, (), race)
+
+        operator._do(send)
+
+    def _drain(self) -> None:
+        up = [s for s in self.cell.servers.values() if s.up and s.phase == "up"]
+        if len(up) > 4:
+            server = self.rng.choice(up)
+            server.drain()
+
+    def _retire(self) -> None:
+        up = [s.id for s in self.cell.servers.values()
+              if s.up and s.phase == "up" and s.version == "v1" and s.id not in self.retired]
+        if len(up) > 4:
+            ident = self.rng.choice(up)
+
+            def done(answer: wire.Answer | None) -> None:
+                if answer is not None and answer.status == 200:
+                    self.retired.setdefault(ident, self.cell.now)
+
+            self._call("POST", "/-/retire", msgspec.json.encode({"id": ident, "force": True}), done)
+
+    def _retire_most(self) -> None:
+        """More than may go: in touch it is refused, and there are always more."""
+        self._call("POST", "/-/retire", msgspec.json.encode({"ver": "v1", "svc": "maps"}))
+
+    def _join(self) -> None:
+        """A server is new, and at once an operator wants it retired; who has not heard of it can't refuse."""
+        if len(self.cell.servers) < 14:
+            server = self.cell.add_server(self.cell.deployment.services[0], self.rng.choice("abc"), "v2")
+            order = msgspec.json.encode({"id": server.id, "force": True, "undo": True})
+            for delay in (0.6, 1.2, 1.8):
+                self.cell.later(delay, self._call, "POST", "/-/retire", order)
+
+    def _show(self) -> None:
+        self._call("GET", "/-/" + self.rng.choice(("retiring", "servers", "history", "members", "duties",
+                                                   "status")))
+
+    def _restart_desk(self) -> None:
+        """A desk begins anew, now and then while its registries are out of touch."""
+        machine = self.rng.choice(self.cell.machines)
+        self.rng.choice((self._reset, self._restart, self._stay))(machine)
+
+    def _restart(self, machine: Any) -> None:
+        machine.kill("desk")
+        self.cell.later(0.1, machine.start, "desk")
+        self.cell.judge.trouble([machine.name], self.cell.now, self.cell.now + 1.0)
+
+    def _call(self, method: str, path: str, body: bytes = b"",
+              done: Callable[[wire.Answer | None], None] = lambda answer: None) -> None:
+        at = self.cell.a_registry(self.rng)
+        data = wire.request(method, at, path, [], body)
+        wire.fetch(self.cell.operator.process, at, data, 1.2, done)
+
+    def _fetching(self, fetch: Callable) -> Callable:
+        """All calls of a registry pass here, of servers and operators alike."""
+        def watched(process: Any, address: str, data: bytes, timeout: float, done: Callable) -> None:
+            began, machine = self.cell.now, self.registries.get(address)
+
+            def ended(answer: wire.Answer | None) -> None:
+                if machine is not None and answer is not None:
+                    self._answered(machine, data, answer, began)
+                done(answer)
+
+            fetch(process, address, data, timeout, ended)
+
+        return watched
+
+    # What the world knows
+
+    def _voters(self) -> list[str]:
+        """Who votes, by the registry that knows most."""
+        daemons = [m.daemons["registry"] for m in self.cell.control if "registry" in m.daemons]
+        newest = max(daemons, key=lambda daemon: daemon.node.last)
+        return [voter.addr for voter in newest.node.voters]
+
+    def _alone(self, machine: Any, since: float, until: float, voters: list[str]) -> bool:
+        """Whether it can't have had a round trip to a majority of `voters` at any time between."""
+        first = max(n for n, state in enumerate(self.states) if state.at <= since or n == 0)
+        states = [state for state in self.states[first:] if state.at <= until]
+        lost = 0
+        for addr in voters:
+            other = self.registries[addr]
+            if other is machine:
+                continue
+            lost += (all((machine.ip, other.ip) in s.blocked for s in states)
+                     or all((other.ip, machine.ip) in s.blocked for s in states)
+                     or all(f"registry:{other.name}" in s.stopped for s in states)
+                     or all(f"registry:{machine.name}" in s.stopped for s in states))
+        return 2 * (len(voters) - lost) <= len(voters)
+
+    def _good(self, machine: Any, voters: list[str]) -> bool:
+        """Whether the registry has both ways to a majority now."""
+        state = self.states[-1]
+        if "registry" not in machine.daemons or f"registry:{machine.name}" in state.stopped:
+            return False
+        reached = 0
+        for addr in voters:
+            other = self.registries[addr]
+            reached += other is machine or not (
+                (machine.ip, other.ip) in state.blocked or (other.ip, machine.ip) in state.blocked
+                or f"registry:{other.name}" in state.stopped)
+        return 2 * reached > len(voters)
+
+    def _reaches(self, desk: Any, machine: Any) -> bool:
+        blocked = self.states[-1].blocked
+        return (desk.ip, machine.ip) not in blocked and (machine.ip, desk.ip) not in blocked
+
+    # Invariants of calls
+
+    def _answered(self, machine: Any, data: bytes, answer: wire.Answer, began: float) -> None:
+        now = self.cell.now
+        head, _, body = data.partition(b"\r\n\r\n")
+        method, path = head.split(b" ")[:2]
+        kind = _kind(method.decode(), path.decode(), body)
+        daemon = machine.daemons.get("registry")
+        self.report.calls += 1
+        if daemon is None:
+            return
+        views = {tuple(v.addr for v in daemon.node.voters), tuple(self._voters())} - {()}
+        views = [list(view) for view in views if set(view) <= self.registries.keys()]
+        alone = all(self._alone(machine, began, now, view) for view in views)
+        self.report.cut_calls += alone
+        self.world.outcomes[f"{kind} {answer.status}{' alone' if alone else ''}"] += 1
+        if answer.status == 503 and b"retry-after" not in answer.headers:
+            self._broken(f"{kind} at {machine.name}: 503 without Retry-After")
+        if not alone:
+            if kind == "beat" and answer.status == 200 and self._good(machine, self._voters()):
+                self.beaten[path.rpartition(b"/")[2].decode()] = now
+            return
+        if kind in FRESH and answer.status in CLEAR:
+            self._broken(f"{kind} at {machine.name} answered {answer.status} without a majority")
+        since = self._alone_since(machine, began, views)
+        if kind == "beat" and answer.status == 200 and now - since > PROOF:
+            self._broken(f"beat at {machine.name} acknowledged {now - since:.2f} s after its last contact")
+        if kind == "show" and answer.status == 200:
+            age = answer.headers.get(b"age")
+            if age is None or int(age) + 1.1 < began - since:
+                self._broken(f"{path.decode()} at {machine.name}: age {age}, "
+                             f"{began - since:.2f} s after contact")
+            if path.startswith(b"/-/retiring"):
+                told = msgspec.json.decode(answer.body)
+                if any(row["safe"] and row["state"] != "gone" for row in told["servers"]):
+                    self._broken(f"{machine.name} calls a server safe without a majority")
+
+    def _alone_since(self, machine: Any, at: float, views: list[list[str]]) -> float:
+        since = at
+        for state in reversed(self.states):
+            if state.at <= at:
+                if not all(self._alone(machine, state.at, at, view) for view in views):
+                    break
+                since = state.at
+        return since
+
+    # Invariants of desks
+
+    def _look(self) -> None:
+        cell = self.cell
+        voters = self._voters()
+        good = [m for m in cell.control if self._good(m, voters)]
+        steady = cell.now - self.states[-1].at
+        shares: dict[str, float] = {}
+        for machine in cell.machines:
+            daemon, process = machine.daemons.get("desk"), machine.processes.get("desk")
+            if daemon is None:
+                self.moving.pop(machine.name, None)
+                continue
+            self._never_back(machine, daemon)
+            reached = [one for one in good if self._reaches(machine, one)]
+            self._quiet(machine, daemon, reached)
+            self._move(machine, daemon, reached, steady)
+            local = process.clock(cell.now)
+            share = daemon.follower.share("north", local)
+            shares["north"] = shares.get("north", 0.0) + (share or 0.0)
+        if any(share > SHARES for share in shares.values()):
+            self._broken(f"shares in use sum to {shares}")
+        cell.later(SAMPLE, self._look)
+
+    def _never_back(self, machine: Any, daemon: Any) -> None:
+        follower, clerk = daemon.follower, daemon.desk.clerk
+        life = machine.name, machine.lives["desk"]
+        before = self.seen.get(life)
+        now = {"fresh": follower.fresh, "slot": follower.slot, "ver": follower.config.ver,
+               "left": set(before["left"] if before else ()),
+               "fences": {key: holdings.fence for key, holdings in follower.holdings.items()}}
+        for ident, server in clerk.servers.items():
+            if not server.usable:
+                now["left"].add(ident)
+            elif ident in now["left"]:
+                self._broken(f"{machine.name} takes {ident} as up, which it knew to leave")
+        if before is not None:
+            if now["slot"] < before["slot"] or now["ver"] < before["ver"]:
+                self._broken(f"{machine.name} goes back from {before['ver']:08x} to {now['ver']:08x}")
+            for key, fence in before["fences"].items():
+                if now["fences"].get(key, 0) < fence:
+                    self._broken(f"{machine.name} obeys a lower fence of {key}")
+        if follower.fresh and not (before and before["fresh"]):
+            acked = [v.ver for v in self.cell.judge.versions
+                     if v.acked_at is not None and v.acked_at + KNOWN < self.cell.now]
+            if acked and follower.config.ver < max(acked):
+                self._broken(f"{machine.name} starts as ready with {follower.config.ver:08x}, "
+                             f"long after {max(acked):08x}")
+        self.seen[life] = now
+
+    def _quiet(self, machine: Any, daemon: Any, good: list) -> None:
+        """A server that is well is not called silent for long by a registry in touch."""
+        follower, now = daemon.follower, self.cell.now
+        there = follower.link is not None and any(one.ctl == follower.at for one in good)
+        named = {ident for ident, server in daemon.desk.clerk.servers.items()
+                 if there and server.quiet and now - self.beaten.get(ident, -HEARD) < HEARD}
+        for ident in named:
+            since = self.quiet.setdefault((machine.name, ident), now)
+            if now - since > UNHEARD:
+                self._broken(f"{machine.name} takes {ident} for silent, which is well, "
+                             f"for {now - since:.2f} s")
+        for key in [key for key in self.quiet if key[0] == machine.name and key[1] not in named]:
+            del self.quiet[key]
+
+    def _move(self, machine: Any, daemon: Any, good: list, steady: float) -> None:
+        follower, now = daemon.follower, self.cell.now
+        there = follower.link is not None and any(m.ctl == follower.at for m in good)
+        if there or not good:
+            began = self.moving.pop(machine.name, None)
+            if began is not None and there and began > 0.0:
+                self.report.moves.append(now - began)
+        elif machine.name not in self.moving:
+            counts = steady < 2 * SAMPLE and machine.started[-1] < now - 2.0
+            self.moving[machine.name] = now if counts else 0.0
+        calm = min(steady, now - machine.started[-1], now - self.disturbed.get(machine.name, 0.0))
+        if not good or calm < REJOIN:
+            return
+        if not there:
+            self._broken(f"{machine.name} has no registry in touch {calm:.2f} s after links came to rest")
+        if calm < REJOIN + KNOWN:
+            return
+        cell = self.cell
+        acked = [v.ver for v in cell.judge.versions if v.acked_at is not None and v.acked_at + KNOWN < now]
+        if acked and follower.config.ver < max(acked):
+            self._broken(f"{machine.name} has {follower.config.ver:08x} {KNOWN} s after {max(acked):08x}")
+        left = {ident: at for ident, (at, _) in cell.judge.drains.items()} | self.retired
+        for ident, at in left.items():
+            server = daemon.desk.clerk.servers.get(ident)
+            if at + KNOWN < now and server is not None and server.usable:
+                self._broken(f"{machine.name} uses {ident} {now - at:.2f} s after it was confirmed to leave")
+
+
+def _kind(method: str, path: str, body: bytes) -> str:
+    if path.startswith("/-/backends/"):
+        if method == "DELETE":
+            return "leave"
+        return "drain" if b'"phase":"draining"' in body else "beat"
+    if path == "/-/config":
+        return "config_get" if method == "GET" else "config_change"
+    return "retire" if path == "/-/retire" else "show"
+
+
+def run(seeds: Iterable[int], steps: int = STEPS) -> CutoffReport:
+    """Play one random schedule for each seed, in which registries are hit for `steps` s."""
+    report = CutoffReport()
+    play(seeds, lambda seed: _Schedule(seed, steps, report), report)
+    return report
+
+
+def figures(report: CutoffReport) -> list[str]:
+    """The report's figures as lines of text."""
+    moves = sorted(report.moves)
+    lines = [f"{report.calls} calls, {report.cut_calls} of them to a registry without a majority"]
+    if moves:
+        p50, p99 = (moves[min(len(moves) - 1, int(part * len(moves)))] for part in (0.5, 0.99))
+        lines.append(f"{len(moves)} moves of desks to a registry in touch: p50 {p50:.2f} s, p99 {p99:.2f} s, "
+                     f"worst {moves[-1]:.2f} s")
+    return lines
+
+
+# Mutants
+
+
+def _patched(*patches: tuple[Any, str, Any]) -> Callable[[Iterable[int]], Report]:
+    """A run with these (owner, name, what stands there instead)."""
+    def mutated(seeds: Iterable[int]) -> Report:
+        with ExitStack() as stack:
+            for owner, name, instead in patches:
+                stack.enter_context(mock.patch.object(owner, name, instead))
+            return run(seeds)
+
+    return mutated
+
+
+def _confirmed(reads: bool) -> Callable:
+    init = _Pending.__init__
+
+    def made(self: Any, ticket: Any, judge: Any, seq: int, deadline: float) -> None:
+        init(self, ticket, judge, seq, deadline)
+        self.confirmed = (judge is None) == reads
+
+    return made
+
+
+def _held_at_once(of_operators: bool) -> Callable:
+    begin = quorum.Pending.begin
+
+    def begun(self: Any, ticket: Any, *args: Any) -> tuple:
+        if isinstance(ticket, tuple) == of_operators:
+            return [], True
+        return begin(self, ticket, *args)
+
+    return begun
+
+
+def _remembering() -> tuple[tuple[Any, str, Any], ...]:
+    """Confirmations that speak for later calls too, as they did for five seconds."""
+    begin, confirmed, known = quorum.Pending.begin, quorum.Pending.confirmed, {}
+
+    def begun(self: Any, ticket: Any, record: Any, *args: Any) -> tuple:
+        out, done = begin(self, ticket, record, *args)
+        for voter, (phase, retired) in known.get((id(self), record.id), {}).items():
+            done = done or ticket in confirmed(self, voter, record.id, phase, retired)
+        return out, done
+
+    def told(self: Any, voter: str, ident: str, phase: str, retired: int = 0) -> list:
+        known.setdefault((id(self), ident), {})[voter] = phase, retired
+        return confirmed(self, voter, ident, phase, retired)
+
+    return (quorum.Pending, "begin", begun), (quorum.Pending, "confirmed", told)
+
+
+def _heard_is_answered() -> Callable:
+    heard = Detector.heard
+
+    def hears(self: Any, peer: str, now: float, trip: float | None = None) -> None:
+        heard(self, peer, now, 0.0 if trip is None else trip)
+
+    return hears
+
+
+def _pause_forgiven() -> Callable:
+    tick = Detector.tick
+
+    def ticked(self: Any, now: float) -> float:
+        held_up = tick(self, now)
+        for known in self._peers.values():
+            known.proof = min(now, known.proof + held_up)
+        return held_up
+
+    return ticked
+
+
+def _takes_any_state(self: Any, message: Any) -> None:
+    self._take(message.slot, Configuration.from_put(m.unpack(message.body)) if message.slot else EMPTY)
+
+
+def _tells_any_state(self: Any, session: Any) -> None:
+    session.slot = self.node.last
+    session.link.send(m.State(self.node.last, m.pack(self.machine.config.dump())))
+
+
+def _any_fence(self: Any, lease: Any, now: float) -> bool:
+    if lease.life == self.life and lease.epoch:
+        self.fence, self._epoch = lease.fence, lease.epoch
+        self._until, self._shares = lease.sent + lease.term, lease.shares
+    return False
+
+
+def _outlives(self: Any, tenant: str, now: float) -> float | None:
+    share = self._shares.get(tenant)
+    return None if share is None else share / PARTS
+
+
+def _long_hand(self: Any, hand: Any, fence: int) -> float:
+    return _END(self, hand, fence) + 20.0
+
+
+def _tried_alike(self: Any, addr: str, again: float) -> None:
+    self.known[addr] = clock.monotonic() + again
+
+
+def _all_silent(self: Any, now: float, after: float) -> None:
+    if self.register.expire(now):
+        self.tell_news(now)
+    if (quiet := self.register.silent(now, after)) != self.quiet:
+        self.quiet = quiet
+        self.tell(m.Quiet(quiet))
+
+
+_END = Duties._end
+MUTANTS = (
+    Mutant("a majority asked before a GET", _patched((_Pending, "__init__", _confirmed(True)))),
+    Mutant("a majority asked before a refusal", _patched((_Pending, "__init__", _confirmed(False)))),
+    Mutant("a majority that holds a leave", _patched((quorum.Pending, "begin", _held_at_once(False)))),
+    Mutant("a majority that holds a retirement", _patched((quorum.Pending, "begin", _held_at_once(True)))),
+    Mutant("confirmations that speak for one call only", _patched(*_remembering())),
+    Mutant("an answer in what is near, as hearing is enough", _patched(
+        (Detector, "heard", _heard_is_answered()))),
+    Mutant("an end of the proof of a majority before 20 s", _patched(
+        (detector, "PROOF", 20.0), (Detector, "state", lambda self, peer, now: "alive"))),
+    Mutant("a stand-still of its own in the age of the proof", _patched(
+        (Detector, "tick", _pause_forgiven()))),
+    Mutant("a majority in touch since the call before a retirement is refused", _patched(
+        (Peers, "in_touch_since", lambda self, since, now: True))),
+    Mutant("a majority's answers before a server is called safe", _patched(
+        (Peers, "reached", lambda self, addrs: True))),
+    Mutant("503 to beats out of touch", _patched(
+        (reports, "unavailable", lambda call, text: call.reply(200, b"{}")))),
+    Mutant("the age of what is shown", _patched((Peers, "age", lambda self, now: 0.0))),
+    Mutant("slots of those near in signs of life", _patched((Peers, "current", Peers.in_touch))),
+    Mutant("as long in touch before servers are called silent", _patched(
+        (Desks, "mind_servers", _all_silent))),
+    Mutant("a desk's leaving of a registry without a majority", _patched((following, "ALONE", 1e9))),
+    Mutant("a desk's leaving of a registry that says nothing", _patched((following, "SILENT", 1e9))),
+    Mutant("the count of what was tried in vain", _patched((Follower, "_in_vain", _tried_alike))),
+    Mutant("a desk's refusal of an older configuration", _patched((Follower, "_state", _takes_any_state))),
+    Mutant("both ends' refusal of an older configuration", _patched(
+        (Follower, "_state", _takes_any_state), (Desks, "_catch_up", _tells_any_state))),
+    Mutant("a desk's memory of servers that leave", _patched(
+        (Memory, "take", lambda self, records, whole, now: list(records)))),
+    Mutant("a desk's refusal of a lower fence", _patched((Holdings, "take", _any_fence))),
+    Mutant("the end of a slice at its desk", _patched((Holdings, "share", _outlives))),
+    Mutant("the end of a holder's lease", _patched((Duties, "_end", _long_hand))),
+)
