Emulator: what waited for a process that stood still comes socket by socket

Cause: it came in the order of its arrival over all sockets, so that a registry that thawed knew all that its peers had said before it met a desk that had dialled last. A poll hands out ready sockets in any order. Change: timers first, then the sockets in a random order, each in its own.

--- a/folio/stacks/check_cutoff.py
+++ b/folio/stacks/check_cutoff.py
@@ -155,7 +155,9 @@
         """Play it to its end; raises Violation."""
         cell = self.cell
         try:
-            with worn(cell.world, cell.say), mock.patch.object(wire, "fetch", self._fetching(wire.fetch)):
+            with (worn(cell.world, cell.say),
+                  mock.patch.object(wire, "fetch", self._fetching(wire.fetch)),
+                  mock.patch.object(Follower, "_heard", self._hearing(Follower._heard))):
                 self._plan()
                 self._run(cell.load_ends + 2.5)
                 cell.operator.read_back()
@@ -270,9 +272,11 @@
         self._harm(hit, span)
         self.cell.later(span, self._thaw, processes)
         for machine in self.cell.machines:      # they come to it just before it goes on
-            begins = span - self.rng.uniform(0.0, 1.2)
-            if begins > 1.0:
-                self.cell.later(begins, self.rng.choice((self._reset, self._restart, self._stay)), machine)
+            begins, what = span - self.rng.uniform(0.0, 0.9), self.rng.choice((self._reset, self._restart))
+            if what == self._restart:
+                begins = span - self.rng.uniform(0.6, 0.9)     # its code takes 0.3 to 0.5 s to load
+            if begins > 1.0 and self.rng.random() < 0.8:
+                self.cell.later(begins, what, machine)
 
     def _reset(self, machine: Any) -> None:
         """The session of a desk is reset."""
@@ -496,11 +500,25 @@
             self._broken(f"shares in use sum to {shares}")
         cell.later(SAMPLE, self._look)
 
+    def _hearing(self, heard: Callable) -> Callable:
+        """All that desks are told passes here: the moment in which one becomes ready is too short to look."""
+        def watched(follower: Follower, link: Any, message: Any) -> None:
+            before = follower.fresh
+            heard(follower, link, message)
+            if follower.fresh and not before:
+                acked = [v.ver for v in self.cell.judge.versions
+                         if v.acked_at is not None and v.acked_at + KNOWN < self.cell.now]
+                if acked and follower.config.ver < max(acked):
+                    self._broken(f"{follower.boot.hostname} starts as ready with {follower.config.ver:08x}, "
+                                 f"long after {max(acked):08x}")
+
+        return watched
+
     def _never_back(self, machine: Any, daemon: Any) -> None:
         follower, clerk = daemon.follower, daemon.desk.clerk
         life = machine.name, machine.lives["desk"]
         before = self.seen.get(life)
-        now = {"fresh": follower.fresh, "slot": follower.slot, "ver": follower.config.ver,
+        now = {"slot": follower.slot, "ver": follower.config.ver,
                "left": set(before["left"] if before else ()),
                "fences": {key: holdings.fence for key, holdings in follower.holdings.items()}}
         for ident, server in clerk.servers.items():
@@ -514,12 +532,6 @@
             for key, fence in before["fences"].items():
                 if now["fences"].get(key, 0) < fence:
                     self._broken(f"{machine.name} obeys a lower fence of {key}")
-        if follower.fresh and not (before and before["fresh"]):
-            acked = [v.ver for v in self.cell.judge.versions
-                     if v.acked_at is not None and v.acked_at + KNOWN < self.cell.now]
-            if acked and follower.config.ver < max(acked):
-                self._broken(f"{machine.name} starts as ready with {follower.config.ver:08x}, "
-                             f"long after {max(acked):08x}")
         self.seen[life] = now
 
     def _quiet(self, machine: Any, daemon: Any, good: list) -> None:
--- a/folio/stacks/loop.py
+++ b/folio/stacks/loop.py
@@ -144,9 +144,21 @@
     def thaw(self) -> None:
         if self.frozen:
             self.frozen = False
+            self._rank_backlog()
             if self.backlog:
                 self.world.at(self.world.now, self, self._next).process = _Turn(self)
 
+    def _rank_backlog(self) -> None:
+        """What waited for one that stood still comes as a poll has it: timers, then socket by socket."""
+        sockets: dict[object, list[Handle]] = {}
+        timers: list[Handle] = []
+        for handle in self.backlog:
+            owner = getattr(handle.callback, "__self__", None)
+            (sockets.setdefault(owner, []) if owner in self.transports else timers).append(handle)
+        order = list(sockets.values())
+        self.world.random(f"thaw/{self.name}/{self.world.now}").shuffle(order)
+        self.backlog = deque([*timers, *(handle for each in order for handle in each)])
+
     def _run(self, handle: Handle) -> None:
         self.world.enter(self)
         self.world.fired += 1
