A server that ended by its own word does not come back at a desk by a beat of before

Cause: a registry that stood still reads the beats that waited in its sockets, up to 20 s old, as news. A desk that came to it took a server that had gone 1.3 s before for one that was only forgotten and reports again, and sent it requests until the registry was mended.

--- a/folio/accession/retiring.py
+++ b/folio/accession/retiring.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from folio.accession.register import PHASES, RETIRED_KEPT, TOMBSTONE, Record
+from folio.accession.register import FORGET_AFTER, PHASES, RETIRED_KEPT, TOMBSTONE, Record
 
 LEAST_ROOM = 1 / 3  # of the slots of a service; a retirement that leaves less has to be forced
 HEARD_SINCE = 1.0  # seconds after its end by which a server must have reported to count as never ended
@@ -57,7 +57,9 @@
         known, at = self._left.get(record.id, (None, 0.0))
         if known is not None:
             phase = known.phase
-            if phase == "gone" and record.phase != "gone":
+            # One that ended by its own word never comes back. A registry that stood still may yet read a beat
+            # of before, and take it for news: only one that was forgotten for its silence can have been well.
+            if phase == "gone" and record.phase != "gone" and known.quiet >= FORGET_AFTER * 1000:
                 ended = at - known.quiet / 1000
                 if now - record.quiet / 1000 > ended + HEARD_SINCE:
                     phase = "up"  # it was only taken for dead, and has reported since
--- a/tests/folio/test_retiring.py
+++ b/tests/folio/test_retiring.py
@@ -350,6 +350,8 @@
                 (4.0, [("a", "up", 2, 100)], False, [("up", 2)]),
                 (5.0, [("a", "draining", 1, 100)], True, [("draining", 2)]),
                 (6.0, [("a", "up", 2, 100)], False, [("draining", 2)]),
+                # It said itself that it ends: a registry that stood still has read a beat of before.
+                (7.0, [("b", "up", 0, 0)], False, [("gone", 0)]),
                 # It was only forgotten: silent for 30 s, and now it reports again.
                 (40.0, [("c", "gone", 0, 30_000)], False, [("gone", 0)]),
                 (41.0, [("c", "up", 0, 31_500)], False, [("gone", 0)]),
