Check of cut-off registries: orders go on under the operator's new count of rivals

Cause: a race of two was asked for by a truth value, which now counts the rivals: 0 sent nothing and ended all orders. Change: one or two.

--- a/folio/stacks/check_cutoff.py
+++ b/folio/stacks/check_cutoff.py
@@ -322,7 +322,7 @@
         def send() -> None:
             spec = operator.spec("routes", "seek") | {"prio": 1 + operator.last % 2}
             operator._send("PATCH", {("routes", "seek"): {
-                "type": "routes", "meta": {"name": "seek"}, "spec": spec}}, (), race)
+                "type": "routes", "meta": {"name": "seek"}, "spec": spec}}, (), 2 if race else 1)
 
         operator._do(send)
 
