Joined: one record of when the voters changed; answers at their time; checks on the joined world

Cause: parts that were written beside each other each kept the slot of the last change of voters, doubled a line, and the checks of membership and of catching up were on the world of before; an answer at a cut-off registry could wait for a tick of 50 ms beyond its time. Change: Node.voters_since alone; a timer for what is due before the next tick; the checks carry stamps and mark damaged disks.

--- a/folio/consensus/check_catchup.py
+++ b/folio/consensus/check_catchup.py
@@ -173,7 +173,7 @@
 
     def carry(self, what: Callable, *args: Any) -> None:
         """A message goes out, in line behind what went before."""
-        sender, addr, life, data = args
+        sender, addr, life, data, stamp = args
         if frozenset((sender, addr)) in self.cut or self.rng.random() < self.loss:
             return
         delay, _ = self._line(sender, addr, len(data))
@@ -182,12 +182,12 @@
             if part.data:
                 wrong = bytes([part.data[0] ^ 1]) + part.data[1:]
                 data = encode(SnapshotPart(part.slot, part.digest, part.size, part.offset, wrong))
-        self.after(delay, self._arrive, what, sender, addr, life, data)
+        self.after(delay, self._arrive, what, sender, addr, life, data, stamp)
 
-    def _arrive(self, what: Callable, sender: str, addr: str, life: Any, data: bytes) -> None:
+    def _arrive(self, what: Callable, sender: str, addr: str, life: Any, data: bytes, stamp: Any) -> None:
         if any(tag in data[:14] for tag in (b"c.part", b"c.snapshot", b"c.chosen")):
             self.came[addr] = self.came.get(addr, 0) + len(data)
-        what(sender, addr, life, data)
+        what(sender, addr, life, data, stamp)
 
     def _ping_all(self) -> None:
         live = [host for host in self.hosts.values() if host.node is not None]
--- a/folio/consensus/check_membership.py
+++ b/folio/consensus/check_membership.py
@@ -68,10 +68,7 @@
         self.struck: Callable[[str], None] = lambda stage: None
         self._judged = 0
 
-        def make(*args: Any, **names: Any) -> Node:
-            return node_class(*args, survive=survive, **names)
-
-        super().__init__(seed, founders, make, timing)
+        super().__init__(seed, founders, node_class, timing, survive=survive)
         self.after(PING, self._ping)
         for addr in founders:
             self.place[addr], self.trouble[addr], self.counts_until[addr] = addr, set(), -1.0
@@ -260,7 +257,7 @@
 
     def carry(self, what: Callable, *args: Any) -> None:
         """As Course has it; some links lose everything, and what is said is watched."""
-        source, at, _, data = args
+        source, at, _, data = args[:4]
         if b"c.knock" in data:
             self._asks(decode(data))
         elif b"c.promise" in data or b"c.accepted" in data:
@@ -470,7 +467,8 @@
     def _damage(self, addr: str) -> None:
         """Down, and up again with a disk on which the last entries can't be read any more."""
         self.world.kill(addr)
-        held = self.world.hosts[addr].disk.content
+        disk = self.world.hosts[addr].disk
+        held, disk.damaged = disk.content, True
         for slot in sorted(held.chosen)[-self.world.rng.randint(1, 4) :]:
             if held.saved is not None and slot > held.saved.slot:
                 del held.chosen[slot]
@@ -609,14 +607,11 @@
     """Lets in who asked before the voters in force were known to it."""
 
     def _wanted(self):
-        self._trusting = True
+        since, self.voters_since = self.voters_since, 0
         try:
             return super()._wanted()
         finally:
-            self._trusting = False
-
-    def _voters_since(self):
-        return 0 if getattr(self, "_trusting", False) else super()._voters_since()
+            self.voters_since = since
 
 
 class _Blaming(Node):
--- a/folio/consensus/node.py
+++ b/folio/consensus/node.py
@@ -197,7 +197,6 @@
         self.survive = survive
         self.contacts = list(contacts)
         self.learners: list[str] = []
-        self.ready = True   # False: not to be let in among the voters yet; set by the owner
         self.last = 0
         self.voters: list[Voter] = []
         self.voters_since = 0   # no later change of the voters than at this slot is known here
@@ -339,6 +338,7 @@
         """Whether this voter has accepted other voters for the next slot, and knows not what came of it."""
         vote = self._orphan()
         return vote is not None and isinstance(vote.entry, Voters)
+
     def leave(self, now: float) -> list[Effect]:
         """Ask the others to strike this voter off, for good; its owner drives it on while `leaving`.
 
@@ -356,7 +356,7 @@
         An entry after the one that struck it off was taken by a majority of those, each of which had
         written down the latter.  Before, this machine may be the only one to know it as chosen.
         """
-        return self.me not in self.voters and self.last > self._voters_since()
+        return self.me not in self.voters and self.last > self.voters_since
 
     @property
     def leaving(self) -> bool:
@@ -974,17 +974,9 @@
         still hear in its place.
         """
         if self.voting:
-            return None if self.me in self.voters or not self.ready else JoinRequest(self.me, self.last)
             return JoinRequest(self.me, self.last) if self.ready and self.me not in self.voters else None
         return next((LeaveRequest(voter) for voter in self.voters if voter.addr == self.me.addr), None)
 
-    def _voters_since(self) -> int:
-        """The slot from which the voters are in force, or a later one where that is no longer known."""
-        for slot in range(self.last, self._first - 1, -1):
-            if isinstance(self._log[slot], Voters):
-                return slot
-        return self._first - 1
-
     def _ask_for_seat(self, out: list[Effect]) -> None:
         if self._clock < self._join_due:
             return
@@ -1030,7 +1022,7 @@
         self._leaving = {i: when for i, when in self._leaving.items() if when >= late}
         # One that did not know the voters in force may have asked before they were: what waited for this
         # machine while it stood still may be the word of a disk that is lost by now.
-        since = self._voters_since() if self._joining else 0
+        since = self.voters_since if self._joining else 0
         return policy.propose(
             self.voters,
             [request.voter for request, _ in self._joining.values()
--- a/folio/registry/agreement.py
+++ b/folio/registry/agreement.py
@@ -44,6 +44,8 @@
         """Do what is due."""
         if now >= self.node.next_tick:
             self._carry(self.node.tick(now))
+        else:
+            self._soon()
 
     def leave(self, now: float) -> None:
         """This registry ends: it asks the others to strike it off."""
@@ -69,6 +71,10 @@
                 self.applied(effect)
             elif isinstance(effect, Answer):
                 self._answer(effect)
+        self._soon()
+
+    def _soon(self) -> None:
+        # A caller that waits for its answer until ANSWER has passed moves on soon after.
         delay = self.node.next_tick - clock.monotonic()
         if delay < TICK:
             self.loop.call_later(max(0.001, delay), self._due)
