--- a/folio/reference/capacity.py
+++ b/folio/reference/capacity.py
@@ -232,7 +232,9 @@
             slope = f"{number(found.b)} each, residue {number(found.residue)}"
             if not found.line:
                 slope = f"no line: {number(found.b)} and {number(found.c)} by the square"
-            if len(each.points) < FEWEST:
+            if each.role == "times":
+                at = "as measured, while no registry is full"   # beyond that no line leads anywhere
+            elif len(each.points) < FEWEST:
                 at = f"not carried on from {len(each.points)} sizes"
             elif max(values) - min(values) <= LOOSE * mean or found.line and found.b <= 0.0:
                 slope, value = f"{slope}: does not grow", mean
--- a/folio/reference/hollow.py
+++ b/folio/reference/hollow.py
@@ -21,6 +21,8 @@
 from folio import clock
 from folio.boot import BootError, address
 from folio.circulation import follower
+from folio.consensus.messages import SnapshotOffer, SnapshotPart
+from folio.consensus.transfer import Fetch
 from folio.lending.admission import FADE, FEWEST_ASKS
 from folio.lending.shards import KEYS, duty_of
 from folio.lending.slices import Holdings
@@ -186,6 +188,7 @@
         self.caught_up: float | None = None     # s from its begin to servers and configuration, both whole
         self.leased: float | None = None        # and to all its leases
         self.have_servers = False
+        self.fetch: Fetch | None = None     # a large configuration on its way, which outlives a session
         self.dialling = False
 
     def restart(self) -> None:
@@ -208,6 +211,9 @@
         if self.link is None and not self.dialling:
             self.dialling = True
             self.crowd.loop.create_task(self._dial(now))
+        fetch = self.fetch
+        if fetch is not None and self.link is not None and now - fetch.heard_at > follower.PART_WAIT:
+            self._fetch_on(now)
         if now >= self.next_report:
             self._report(now)
 
@@ -233,7 +239,7 @@
             link.touched = clock.monotonic()
             self.hop += 1
             link.send(m.Open(self.name, self.life, self.hop, f"zone-{self.number % self.crowd.load.zones}",
-                             self.slot, self.register, self.place))
+                             self.slot, self.register, self.place, True))
             self._send_report(clock.monotonic())
         except (OSError, TimeoutError):
             self.crowd.events["dial failed"] += 1
@@ -275,8 +281,19 @@
                 return self._leave(now, 0.0, "left for a gap")
             if message.slot > self.slot:
                 self.slot = message.slot
+                if self.fetch is not None and self.fetch.slot <= self.slot:
+                    self.fetch = None
                 self.crowd.arrived(message.slot, now)
                 self._whole(now)
+        elif kind is SnapshotOffer:
+            if message.last <= self.slot:
+                link.send(m.Following(self.slot))
+            elif self.fetch is None:
+                self._fetch_anew(now)
+            else:
+                self._fetch_on(now)
+        elif kind is SnapshotPart:
+            self._part(link, message, now)
         elif kind is m.Count:
             link.send(m.Leaving(message.number, self.register, self.place, {}))
         elif kind is m.Welcome:
@@ -287,6 +304,38 @@
                     continue
                 self.known.setdefault(addr, 0.0)
 
+    def _fetch_anew(self, now: float) -> None:
+        self.fetch = Fetch(self.at, max(self.slot, 0), follower.PART, follower.WINDOW, now)
+        self.link.send(*self.fetch.requests())
+
+    def _fetch_on(self, now: float) -> None:
+        self.fetch.asked.clear()
+        self.fetch.heard_at = now
+        self.link.send(*self.fetch.requests())
+
+    def _part(self, link: links.Link, message: SnapshotPart, now: float) -> None:
+        """A part of a configuration; it is fetched as a real desk does, and then not read."""
+        fetch = self.fetch
+        if fetch is None:
+            return
+        if not message.size:
+            if message.digest != fetch.digest:
+                return
+            if fetch.digest:
+                return self._fetch_anew(now)
+            self.fetch = None
+            return link.send(m.Following(self.slot))
+        if not fetch.take(message, now):
+            return
+        if (body := fetch.whole()) is None:
+            return link.send(*fetch.requests())
+        self.fetch = None
+        if fetch.sound(body) and fetch.slot > self.slot:
+            self.slot = fetch.slot
+            self.crowd.arrived(self.slot, now)
+            self._whole(now)
+        link.send(m.Following(self.slot))
+
     def _whole(self, now: float) -> None:
         if self.caught_up is None and self.have_servers and self.slot > 0:
             self.caught_up = now - self.begun
--- a/folio/reference/scale_run.py
+++ b/folio/reference/scale_run.py
@@ -442,7 +442,8 @@
         count = min(self.load.restarts, told["desks"])
 
         async def back() -> bool:
-            return len((await crowd.order({"do": "tell"}))["leased"]) >= count
+            now = await crowd.order({"do": "tell"})
+            return min(len(now["leased"]), len(now["caught_up"])) >= count
 
         await self.until("restarted desks back, with leases", back, 20.0)
         told = await crowd.order({"do": "tell"})
