Model check of the agreement: a climate in which all lose power again and again

Change: one of the two mixed climates is now one of losses of power, half of them as something is acknowledged.

--- a/folio/consensus/check.py
+++ b/folio/consensus/check.py
@@ -38,7 +38,7 @@
         rng = Random(seed)
         timing = Timing(keep=rng.choice((4, 64)))
         founders, self.survive, _ = rng.choices(_FLEETS, [weight for *_, weight in _FLEETS])[0]
-        self.climate = rng.choice(("mixed", "mixed", "links", "disks", "crowd", "age", "siege", "duel"))
+        self.climate = rng.choice(("mixed", "power", "links", "disks", "crowd", "age", "siege", "duel"))
         if self.climate == "duel":
             founders, self.survive = 3, 1
         self.world = World(
@@ -442,6 +442,8 @@
         "mixed": (_race, _race, _race, _race, _race, _rivals, _again, _again, _read, _read, _crash,
                   _crash_all, _wipe, _replace, _add, _cut, _cut, _one_way_cut, _flap, _freeze, _disk_trouble,
                   _hang, _damage),
+        # All lose power, again and again, half of the times as something is acknowledged.
+        "power": (_race, _race, _race, _race, _again, _read, _crash_all, _crash_all, _crash, _cut),
         "links": (*_OPERATORS, _cut, _one_way_cut, _one_way_cut, _flap, _freeze, _crash),
         "disks": (*_OPERATORS, _disk_trouble, _hang, _damage, _behind, _crash, _crash, _crash_all, _wipe,
                   _cut),
