--- a/folio/stacks/check_orders.py
+++ b/folio/stacks/check_orders.py
@@ -828,5 +828,5 @@
     _mutant("a desk takes steps in turn", Follower, "_step", _any_step,
             why="second line: a registry sends a desk only the step next to its place, else the whole state"),
     _mutant("a desk acts once on a version", Follower, "_take", _act_always,
-            why="beyond reach: a desk is sent the steps that it lacks, and the whole only where the log is gone"),
+            why="beyond reach: a desk is sent the steps it lacks, and the whole only where the log is gone"),
 )
