--- a/folio/reference/model_check.py
+++ b/folio/reference/model_check.py
@@ -46,7 +46,9 @@
     jobs = (os.cpu_count() or 1) if args["--jobs"] is None else number(args, "--jobs", int)
     failed = False
     for name in GROUPS.get(part, (part,)):
-        if args["--mutants"]:
+        if args["--guards"]:
+            sys.stdout.writelines(f"{line}\n" for line in guards(name))
+        elif args["--mutants"]:
             failed |= _seek(name, first, seeds)
         else:
             failed |= _play(name, range(first, first + seeds), steps, jobs)
@@ -105,6 +107,13 @@
     return unseen
 
 
+def guards(part: str) -> list[str]:
+    """A row of a table for each guard of a part: the seed that finds its absence, or why none does."""
+    mutants = getattr(import_module(PARTS[part]), "MUTANTS", ())
+    return [f"| {part} | {one.guard} | {'-' if one.seed is None else one.seed} | {one.why} |"
+            for one in mutants]
+
+
 def known(part: str) -> list[tuple[Mutant, list[str]]]:
     """Each mutant of a part that has a seed, with the violations which that seed brings about."""
     mutants = getattr(import_module(PARTS[part]), "MUTANTS", ())
--- a/folio/reference/usage.py
+++ b/folio/reference/usage.py
@@ -21,7 +21,7 @@
   folio snapshot STORE FILE
   folio restore FILE STORE [--voters=LIST --me=ADDR]
   folio schema [config | patch | settings | deploy]
-  folio model-check [--part=P] [--seeds=N] [--from=SEED] [--steps=N] [--jobs=N] [--mutants]
+  folio model-check [--part=P] [--seeds=N] [--from=SEED] [--steps=N] [--jobs=N] [--mutants | --guards]
   folio demo [DIR] [--seconds=S] [--json]
   folio demo DIR --files
   folio scale --curve [--plot=DIR] [--beat=S] [--json]
@@ -57,10 +57,12 @@
   --most=S        Seconds to wait at most [default: 600].
   --voters=LIST   The control addresses that vote from now on, the former voters being gone for good.
   --me=ADDR       Which of them this store is for.
-  --part=P        What to drive: agreement, lending, both of these, or all [default: agreement].
+  --part=P        What to drive: agreement, lending, callers, handover, catchup, membership, orders, cutoff,
+                  both (the first two) or all [default: agreement].
   --seeds=N       How many random schedules to try [default: 200].
   --from=SEED     The first seed [default: 0].
   --steps=N       How many acts each schedule has; left out, as many as the part is made for.
+  --guards        Print each guard with the seed that finds its absence, or why none does.
   --mutants       Leave one guard of the code out at a time, and tell how soon a schedule finds that.
   --seconds=S     How long the demonstration has clients; 10 at least [default: 20].
   --files         Only write the files of the demonstration, and print the commands that start it.
--- /dev/null
+++ b/tests/folio/test_guards.py
@@ -0,0 +1,31 @@
+"""The table of guards in the docs is that of the code, and each guard has a seed or a reason."""
+
+import unittest
+from contextlib import redirect_stdout
+from importlib import import_module
+from io import StringIO
+from pathlib import Path
+
+from folio.reference import dispatch
+from folio.reference.model_check import PARTS, guards
+
+PAGE = Path(__file__).resolve().parents[2] / "docs/control.md"
+
+
+class Guards(unittest.TestCase):
+    def test_the_page_has_the_rows_of_the_code(self):
+        told = [line for line in PAGE.read_text().splitlines() if line.split("|")[1:2]
+                and line.split("|")[1].strip() in PARTS]
+        self.assertEqual(told, [row for part in PARTS for row in guards(part)])
+
+    def test_each_has_a_seed_or_a_reason(self):
+        for part, module in PARTS.items():
+            for mutant in import_module(module).MUTANTS:
+                with self.subTest(part=part, guard=mutant.guard):
+                    self.assertTrue(mutant.seed is not None or mutant.why)
+
+    def test_the_command_prints_them(self):
+        told = StringIO()
+        with redirect_stdout(told):
+            self.assertEqual(dispatch.run(["model-check", "--part=callers", "--guards"]), 0)
+        self.assertEqual(told.getvalue().splitlines(), guards("callers"))
