--- a/tests/folio/test_check_agreement.py
+++ b/tests/folio/test_check_agreement.py
@@ -9,7 +9,7 @@
 from folio.reference.model_check import known
 from folio.schedules import Violation
 
-CLIMATES = {"mixed", "links", "disks", "crowd", "age", "siege", "duel"}
+CLIMATES = {"mixed", "power", "links", "disks", "crowd", "age", "siege", "duel"}
 
 
 class Schedules(unittest.TestCase):
