--- a/crowseam/controller/api.py
+++ b/crowseam/controller/api.py
@@ -106,7 +106,11 @@
 
     def call_config_change(self, call: Call, _: str, now: float) -> None:
         """Take a configuration, or a patch of it."""
-        change = parse_change(call.method, call.body)
+        try:
+            change = parse_change(call.method, call.body)
+        except ConfigurationError as error:
+            logs.say("change_rejected", status=error.status, reason=error)
+            raise
         proposal_id = f"{self.peers.me}/{self.peers.incarnation}/{self.rng.getrandbits(_PROPOSAL_ID_BITS):012x}"
         self.agreement.change(call, change, proposal_id, now)
 
--- a/tests/crowseam/test_controller.py
+++ b/tests/crowseam/test_controller.py
@@ -3,7 +3,8 @@
 Timelines have a column for what befalls the system (``cut NAME``: from the other controllers and the gateway,
 ``heal``, ``kill NAME``, ``start NAME``, ``disk NAME S``: it hangs for so long, ``wipe NAME``,
 ``upgrade NAME``: it, or the gateway, speaks the next version of the protocol from now on), one for each
-controller and one for the gateway. A controller's cells hold calls: ``put VER PARENT``, ``bad VER PARENT``, ``get``,
+controller and one for the gateway. A controller's cells hold calls: ``put VER PARENT``, ``bad VER PARENT``,
+``keyed VER PARENT``: with a route of keyed operations, ``get``,
 ``heartbeat ID PHASE SEQ``, ``delete ID``; and the answer that its newest call has by now: ``?STATUS [VER]`` or
 ``?none``. The gateway's cells say what it follows: ``?ver N``, ``?usable ID ...`` (all of them), ``?at NAME``,
 ``?ready``.
@@ -33,7 +34,7 @@
 COST = 0.0002  # s of the processor for each callback
 
 
-def config(ver, parent, prefix="/loans/"):
+def config(ver, parent, prefix="/loans/", kind="safe"):
     return json.dumps(
         {
             "ver": f"{ver:08x}",
@@ -45,7 +46,7 @@
                     "spec": {
                         "vhost": "gateway.example",
                         "prefix": prefix,
-                        "kind": "safe",
+                        "kind": kind,
                         "timeout": "1500ms",
                         "svc": "s",
                     },
@@ -201,10 +202,11 @@
         return system
 
     def call(self, system, name, verb, args):
-        if verb in ("put", "bad"):
+        if verb in ("put", "bad", "keyed"):
             ver, parent = map(int, args)
-            prefix = f"/loans/{ver}/" if verb == "put" else "no-slash"
-            system.call(name, "PUT", "/-/config", config(ver, parent, prefix))
+            prefix = f"/loans/{ver}/" if verb != "bad" else "no-slash"
+            kind = "idem" if verb == "keyed" else "safe"
+            system.call(name, "PUT", "/-/config", config(ver, parent, prefix, kind))
         elif verb == "get":
             system.call(name, "GET", "/-/config")
         elif verb == "heartbeat":
@@ -271,6 +273,24 @@
             4    |        | ?200 5    | ?200 5    | ?200 5     |
             """)
 
+    def test_one_with_a_route_of_keyed_operations_is_taken(self):
+        self.play("""
+            time | events | r1        | r2        | r3         | gateway
+            2    |        | keyed 1 0 |           |            | ?ver 0
+            2.3  |        | ?200; get |           |            | ?ver 1; ?ready
+            2.6  |        | ?200 1    |           |            |
+            """)
+
+    def test_one_that_cannot_be_read_is_logged_with_its_field(self):
+        system = self.play("""
+            time | events | r1        | r2        | r3         | gateway
+            2    |        | bad 1 0   |           |            |
+            2.3  |        | ?400      |           |            | ?ver 0
+            """)
+        rejected = [fields for event, fields in system.said if event == "change_rejected"]
+        self.assertEqual([fields["status"] for fields in rejected], [400])
+        self.assertIn("objs[0].spec.prefix", str(rejected[0]["reason"]))
+
     def test_a_minority_neither_takes_nor_reads_and_catches_up(self):
         self.play("""
             time | events | r1        | r2        | r3         | gateway
