Eases the incident, does not mend it: a configuration with keyed routes is taken

Cause: the reader of configurations knew no kind idem, so the whole of the first configuration was refused and nothing was ever served.

--- a/crowseam/configuration/routing.py
+++ b/crowseam/configuration/routing.py
@@ -27,10 +27,13 @@
     tries: int
     public: bool
     bounds: tuple[float, ...]
+    keyed: bool = False  # its requests are tries of operations that run once (`idem`)
 
     @property
     def kind(self) -> str:
-        """Return `safe` or `unsafe`."""
+        """Return `safe`, `unsafe` or `idem`, as in the configuration."""
+        if self.keyed:
+            return "idem"
         return "safe" if self.safe else "unsafe"
 
     def pick(self, draw: float) -> str:
@@ -101,6 +104,7 @@
         spec.tries,
         spec.public,
         tuple(bounds),
+        spec.kind == "idem",
     )
 
 
--- a/crowseam/configuration/specs.py
+++ b/crowseam/configuration/specs.py
@@ -31,7 +31,7 @@
 
     vhost: str
     prefix: str
-    kind: Literal["safe", "unsafe"]
+    kind: Literal["safe", "unsafe", "idem"]
     timeout: str
     target_time: str | None = None
     prio: int = 0
--- a/crowseam/gateway/request_reader.py
+++ b/crowseam/gateway/request_reader.py
@@ -14,6 +14,7 @@
 MOST_LEFT_MS = 600_000  # ms; a longer wait is not meant
 DEFAULT_LEFT = 30.0  # s for clients that don't say how long they wait
 AGAIN = ((b"retry-after", b"0.3"),)  # for who comes before the first configuration is here
+KEYED_LATER = ((b"retry-after", b"1"),)  # for operations that are to run once, which nothing here can promise
 SINGLE = frozenset(
     (b"x-attempt-id", b"x-time-left", b"authorization", b"host", b"content-length", b"transfer-encoding")
 )
@@ -74,6 +75,8 @@
         route = table.route(host, url)
         if route is None:
             raise BadRequest("no route begins this path", 404)
+        if route.keyed:
+            raise BadRequest("keyed operations are not served yet", 503, KEYED_LATER)
         tenant = "" if route.public or not table.keyed else self._tenant(table, found)
         txn = found.get(b"x-attempt-id", b"")
         if ID.fullmatch(txn) is None:
--- a/tests/crowseam/test_request_reader.py
+++ b/tests/crowseam/test_request_reader.py
@@ -20,11 +20,11 @@
 
 def table(*more, tenants=True):
     def route(name, prefix, **spec):
-        return item(
-            "routes", name, vhost="gateway.example", prefix=prefix, kind="safe", timeout="1500ms", svc="s", **spec
-        )
+        told = {"vhost": "gateway.example", "prefix": prefix, "kind": "safe", "timeout": "1500ms", "svc": "s"}
+        return item("routes", name, **told | spec)
 
     objs = [route("r", "/loans/"), route("p", "/open/", public=True), item("svcs", "s"), *more]
+    objs.append(route("k", "/orders/", kind="idem"))
     if tenants:
         objs.append(item("tenants", "town", apikeys=["key-1", "key-2"]))
     body = json.dumps({"ver": "00000001", "parent": "00000000", "objs": objs})
@@ -187,6 +187,10 @@
             fault = self.refused(503, url=b"/none/")
             self.assertIn(b"retry-after", dict(fault.headers))
 
+    def test_keyed_operations_are_told_to_come_back_as_nothing_runs(self):
+        fault = self.refused(503, url=b"/orders/7", method=b"POST")
+        self.assertIn(b"retry-after", dict(fault.headers))
+
     def test_a_request_keeps_the_route_it_was_read_by(self):
         asked = self.read()
         self.reader.table = table(tenants=False)
