Keyed operations: claims on the disks of a majority, ends kept, repeats answered

Cause: routes of the kind idem were taken, but nothing ran their requests once.

Change: crowseam.operations (decisions without clock or socket): a voter accepts one claim of a key at a time; a coordinator, the gateway's controller, counts a majority; the gateway sends nothing without a grant, keeps the end before it answers, withdraws what surely has not run. controller.operation_service and gateway.keyed_requests carry it out.

--- a/crowseam/controller/daemon.py
+++ b/crowseam/controller/daemon.py
@@ -31,6 +31,7 @@
 from crowseam.discovery.voter_catch_up import StateTransferReply, StateTransferRequest
 from crowseam.membership import role_messages
 from crowseam.membership.sessions import SessionUpdate
+from crowseam.operations import messages as operations
 from crowseam.storage.errors import StoreError
 from crowseam.storage.store import Store
 from crowseam.transport.http import HttpConnection
@@ -123,6 +124,7 @@
         self.drain_status = parts.drain_status
         self.reports = parts.reports
         self.voter_sync = parts.voter_sync
+        self.operations = parts.operations
         self.api = parts.api
         self._controller_messages = self._route_controllers()
         self._gateway_messages = self._route_gateways()
@@ -162,6 +164,13 @@
         router.add(OutlierReport, self.gateways.server_feed.on_forwarded_report)
         router.add(StateTransferRequest, self.voter_sync.on_request)
         router.add(StateTransferReply, self.voter_sync.on_reply)
+        router.add(operations.RecordClaim, self.operations.on_record_claim)
+        router.add(operations.RecordEnd, self.operations.on_record_end)
+        router.add(operations.RecordWithdrawal, self.operations.on_record_withdrawal)
+        router.add(operations.ClaimVote, self.operations.on_vote)
+        router.add(operations.RecordAck, self.operations.on_ack)
+        router.add(operations.LearnOperations, self.operations.on_learn)
+        router.add(operations.OperationsLearned, self.operations.on_learned)
         return router
 
     def _route_gateways(self) -> MessageRouter[GatewaySession]:
@@ -174,6 +183,9 @@
         router.add(CloseSession, self.gateways.on_close)
         router.add(consensus.SnapshotChunkRequest, self.gateways.on_chunk_request)
         router.add(FollowingLog, self.gateways.on_following)
+        router.add(operations.OperationClaim, self.operations.on_claim)
+        router.add(operations.OperationEnd, self.operations.on_end)
+        router.add(operations.OperationWithdrawal, self.operations.on_withdrawal)
         return router
 
     # Start and stop
@@ -307,6 +319,7 @@
         self.gateways.borrowers.update(now, self.peers.is_in_touch(now))
         self.lease_service.tick(now, reachable, voters)
         self.reports.tick(now)
+        self.operations.tick(now)
         timers = self._timers
         if now >= timers.heartbeat_at:
             timers.heartbeat_at = now + HEARTBEAT_INTERVAL_S
--- a/crowseam/controller/durable_state.py
+++ b/crowseam/controller/durable_state.py
@@ -15,17 +15,18 @@
 from crowseam.consensus.voter_selection import assign_identity
 from crowseam.settings import Settings
 from crowseam.storage.errors import StoreError
-from crowseam.storage.records import Member, Note
+from crowseam.storage.records import Member, Note, OperationRow
 from crowseam.storage.store import Store
 
 SLOW_WRITE_S = 0.5  # after which a write that is still out is reported
 # Keys of notes in the store.
 COMPLETE_MEMBERS_KEY = "known/whole"  # the gateways on disk are all that may hold leases
 COUNTED_VOTER_KEY = "counted"  # this voter has learned all that the voters before it knew
+COUNTED_FOR_OPERATIONS_KEY = "operations/counted"  # the same of keyed operations
 ROLE_KEY_PREFIX = "duty/"  # before the key of a role: to whom it was granted last
 DATABASE_FILE = "crowseam.db"
 
-StoredRecord = Record | Note | Member
+StoredRecord = Record | Note | Member | OperationRow
 WriteCallback = Callable[[bool], None]
 
 
@@ -126,6 +127,7 @@
     ) -> None:
         self.writer: DiskWriter | None = None
         self.has_counted = False
+        self.has_counted_for_operations = False
         self.has_complete_members = settings.bootstrap
         self._may_have_forgotten_grants = True
         me = settings.bind.ctl
@@ -142,7 +144,10 @@
         is_new_disk = durable.id is None or store.was_quarantined
         self._may_have_forgotten_grants = is_new_disk and not settings.bootstrap
         records = assign_identity(durable, me, settings.seeds, settings.bootstrap, rng)
-        self.has_counted = durable.id in (notes.get(COUNTED_VOTER_KEY, b"").decode(), f"genesis/{me}")
+        founder_id = f"genesis/{me}"
+        self.has_counted = durable.id in (notes.get(COUNTED_VOTER_KEY, b"").decode(), founder_id)
+        operations_id = notes.get(COUNTED_FOR_OPERATIONS_KEY, b"").decode()
+        self.has_counted_for_operations = durable.id in (operations_id, founder_id)
         if records:
             store.write(records)
         logs.say(
@@ -161,6 +166,10 @@
         """Return the gateways that may hold a lease, as of before the start."""
         return set() if self.writer is None else set(self.writer.store.members())
 
+    def operations(self) -> list[bytes]:
+        """Return the records of keyed operations, as of before the start."""
+        return [] if self.writer is None else self.writer.store.operations()
+
     def granted_roles(self) -> dict[str, str] | None:
         """Return the note of each role that this voter granted; None if its disk has lost that."""
         granted = {
--- a/crowseam/controller/parts.py
+++ b/crowseam/controller/parts.py
@@ -23,6 +23,7 @@
 from crowseam.controller.gateway_sessions import GatewaySessions
 from crowseam.controller.lease_service import LeaseService
 from crowseam.controller.leaving_records import LeavingRecords
+from crowseam.controller.operation_service import OperationService
 from crowseam.controller.peers import Peers
 from crowseam.controller.pending_calls import PendingCalls
 from crowseam.controller.retirements import Retirements
@@ -69,6 +70,7 @@
     drain_status: DrainStatusCalls
     reports: ServerReports
     voter_sync: VoterSynchronization
+    operations: OperationService
     api: ControlApi
 
 
@@ -135,6 +137,7 @@
     voter_sync = VoterSynchronization(
         node, registry, catch_up, acknowledgements, role_leases, lease_service, leaving_records, peers, store
     )
+    operations = OperationService(settings, peers, gateways, store, first_number, now)
     api = ControlApi(
         loop,
         rng,
@@ -168,5 +171,6 @@
         drain_status=drain_status,
         reports=reports,
         voter_sync=voter_sync,
+        operations=operations,
         api=api,
     )
--- a/crowseam/gateway/controller_session.py
+++ b/crowseam/gateway/controller_session.py
@@ -12,6 +12,7 @@
 from crowseam.consensus.messages import SnapshotChunk, SnapshotOffer
 from crowseam.consensus.snapshot_transfer import SnapshotDownload
 from crowseam.discovery.leaving_servers import LeavingServers
+from crowseam.operations.messages import ClaimDecision, GatewayMessage, OperationSettled
 from crowseam.quotas.gateway_leases import GatewayLeases
 from crowseam.quotas.shards import KEYS, shard_of
 from crowseam.settings import Settings, SettingsError, address
@@ -85,6 +86,9 @@
         self.holdings: dict[str, GatewayLeases] = {}
         self.on_lease: Callable[[], None] = lambda: None  # what was missing is lent
         self.on_shun: Callable[[list[str]], None] = lambda ids: None
+        self.on_claim_decision: Callable[[ClaimDecision], None] = lambda decision: None
+        self.on_operation_settled: Callable[[OperationSettled], None] = lambda settled: None
+        self.on_connected: Callable[[], None] = lambda: None  # a controller has just been reached
         self.leased_at = -1e9  # when a lease was last missing
         self.draws: dict[int, Callable[[int, float], None]] = {}
         # Begun with the life: controllers pass answers on by the gateway's name, whichever life it is in.
@@ -194,6 +198,7 @@
                 )
             )
             self._send_report(clock.monotonic())  # others may wait for it, to be lent what is not ours
+            self.on_connected()
         except (OSError, TimeoutError):
             self._in_vain(addr, 0.4)
         finally:
@@ -241,6 +246,10 @@
                 self._send_report(now)
             if not had and holdings.remaining_s(now) > 0.0:
                 self.on_lease()
+        elif kind is ClaimDecision:
+            self.on_claim_decision(message)
+        elif kind is OperationSettled:
+            self.on_operation_settled(message)
         elif kind is EjectedServers:
             self.on_shun(message.ids)
         elif kind is ReserveDrawReply:
@@ -357,6 +366,11 @@
         if self.link is not None:
             self.link.send(OutlierReport(self.settings.hostname, news))
 
+    def send(self, message: GatewayMessage) -> None:
+        """Pass a message on to the controller; it is lost where there is none."""
+        if self.link is not None:
+            self.link.send(message)
+
     def draw(self, tenant: str, count: int, done: Callable[[int, float], None]) -> None:
         """Ask for requests of a tenant beyond our slice; `done` gets how many, and the wait for one more."""
         if self.link is None:
--- a/crowseam/gateway/daemon.py
+++ b/crowseam/gateway/daemon.py
@@ -16,8 +16,10 @@
 from crowseam.gateway.controller_session import ControllerSession
 from crowseam.gateway.counters import SPAN
 from crowseam.gateway.gateway import Gateway
+from crowseam.gateway.keyed_requests import KeyedRequests
 from crowseam.gateway.request_reader import Reader
 from crowseam.metrics import latency
+from crowseam.operations.claims import OperationClaims
 from crowseam.quotas.admission import PERIOD
 from crowseam.transport.http import Call, HttpConnection
 from fennelpoint.net.server import Bounds, Server
@@ -58,6 +60,16 @@
         self.gateway.reserve, self.gateway.share = self.controller_session.draw, self.controller_session.share
         self.controller_session.on_lease = self.gateway.lent
         self.gateway.left = self.controller_session.left
+        keyed_requests = KeyedRequests(
+            loop,
+            rng,
+            OperationClaims(settings.hostname, self.controller_session.life),
+            self.controller_session.send,
+        )
+        self.gateway.keyed_requests = keyed_requests
+        self.controller_session.on_claim_decision = keyed_requests.on_decision
+        self.controller_session.on_operation_settled = keyed_requests.on_settled
+        self.controller_session.on_connected = keyed_requests.on_connected
         self.gateway.relent = lambda now: [
             name for each in self.controller_session.holdings.values() for name in each.take_changed(now)
         ]
@@ -109,6 +121,7 @@
             self.gateway.balancer.ingresses = max(1, self.controller_session.members)
             if news := self.gateway.balancer.ill_news(now):
                 self.controller_session.complain(news)
+            self.gateway.keyed_requests.tick(now)
             if now >= self.period_at:
                 self.period_at = now + PERIOD
                 self.gateway.admission.regulate(now)
--- a/crowseam/gateway/gateway.py
+++ b/crowseam/gateway/gateway.py
@@ -12,9 +12,12 @@
 from crowseam.discovery.server_record import ServerRecord
 from crowseam.gateway.counters import RequestCounters
 from crowseam.gateway.http_dialect import ServerDialect, load_of
-from crowseam.gateway.load_balancer import Draw, Give, LoadBalancer, Send, Wake
+from crowseam.gateway.keyed_requests import KeyedRequests
+from crowseam.gateway.load_balancer import RETURN_LEAST, Draw, Give, LoadBalancer, Send, Wake
 from crowseam.gateway.request_reader import Asked
 from crowseam.metrics.latency import Recorder
+from crowseam.operations.claims import GrantedClaim, OperationClaims
+from crowseam.operations.messages import ClaimDecision, ClaimOutcome, KeptAnswer, OperationEnd, OperationWithdrawal
 from crowseam.quotas.admission import Admission
 from crowseam.quotas.retry_budget import RetryBudget, SlidingMaximum
 from crowseam.quotas.unleased_allowance import unleased_allowance
@@ -34,6 +37,17 @@
 # time, and buckets begin empty
 NOT_RUN = frozenset((429, 503, 408, 421))  # a promise: it has not run and never will
 REASON = b"x-refused-by"
+ATTEMPT_ID = b"x-attempt-id"
+# What a repeat of a keyed operation gets that is neither granted nor answered from memory: status and reason.
+REPEATS = {
+    ClaimOutcome.AT_WORK: (409, "key_at_work"),
+    ClaimOutcome.UNKNOWN: (504, "outcome_unknown"),
+    ClaimOutcome.OTHER_REQUEST: (422, "x-op-key_reused"),
+    ClaimOutcome.CONTENDED: (503, "key_contended"),
+    ClaimOutcome.NO_QUORUM: (503, "no_quorum"),
+    ClaimOutcome.FULL: (503, "operations_full"),
+}
+FULL_RETRY_AFTER_S = 1.0  # where there is no space for another key
 OVERTIME = 0.2  # s past a request's time that a large answer which is on its way may take to end
 
 
@@ -50,6 +64,8 @@
     passing: Passing | None = None
     drawing: bool = False  # the reserve has been asked for it
     svc: str = ""  # the service of its servers, once one was chosen
+    claim: GrantedClaim | None = None  # of its operation, on routes of keyed ones
+    answering: Give | None = None  # its answer, which waits until the end of its operation is kept
 
 
 @dataclass(slots=True, eq=False)
@@ -74,6 +90,25 @@
             self.ticket.client.piece(data)
 
 
+class DepartedClient:
+    """In place of a client that has left, where its request goes on all the same."""
+
+    def answered(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
+        """Nobody takes the answer."""
+
+    def begin(self, answer: Answer, length: int | None, source: UpstreamConnection) -> None:
+        """Nobody takes the answer."""
+
+    def piece(self, data: bytes) -> None:
+        """Nobody takes the answer."""
+
+    def finish(self) -> None:
+        """Nobody takes the answer."""
+
+    def broken(self) -> None:
+        """Nobody takes the answer."""
+
+
 class Gateway:
     """What `fennelpoint.net.server` calls its host: takes requests, gives answers."""
 
@@ -110,6 +145,8 @@
         self.members = 0
         self.most = SlidingMaximum(LATELY)
         self.metrics = Recorder()
+        claims = OperationClaims(settings.hostname, 0)
+        self.keyed_requests = KeyedRequests(loop, rng, claims, lambda message: None)
 
     # What the controllers tell
 
@@ -224,8 +261,13 @@
         ticket = self.tickets.get(request)
         if ticket is None or ticket.client is None:
             return
-        self.balancer.gone(request, clock.monotonic())
         self.metrics.gone += 1
+        if ticket.claim is not None and ticket.asked.upload is None:
+            # Its operation may run already: its end is kept for when the client comes again.
+            ticket.client = DepartedClient()
+            return
+        self._end_without_answer(ticket)
+        self.balancer.gone(request, clock.monotonic())
         self._finish(ticket, lambda client: None, 0)
         for exchange in list(ticket.out.values()):
             exchange.give_up(Status.CANCELLED)
@@ -276,6 +318,8 @@
         ticket = self.tickets[send.id]
         asked, server, number = ticket.asked, send.server, send.number
         ticket.svc = server.svc
+        if asked.route.keyed and not self._may_send(ticket, send):
+            return None
         if asked.upload is not None and asked.upload.held is None:
             # A part of its body is gone with the attempt before.
             return self._outcome(ticket, number, Status.MOOT, None)
@@ -297,6 +341,68 @@
         ticket.out[number] = exchange
         self.backends.begin(exchange, server.id)
 
+    def _may_send(self, ticket: Ticket, send: Send) -> bool:
+        """Whether a try of a keyed operation has the right to be sent now; it is claimed if it has none yet."""
+        now = clock.monotonic()
+        if ticket.claim is None:
+            self._claim(ticket, send)
+            return False
+        if now >= ticket.claim.send_until:
+            self._outcome(ticket, send.number, Status.MOOT, None)
+            return False
+        return True
+
+    def _claim(self, ticket: Ticket, send: Send) -> None:
+        def done(outcome: ClaimOutcome, decision: ClaimDecision | None, granted: GrantedClaim | None) -> None:
+            if ticket.client is None:
+                if granted is not None:
+                    self.keyed_requests.withdraw(granted)
+                return
+            if granted is None:
+                self._answer_repeat(ticket, outcome, decision)
+                return
+            ticket.claim = granted
+            self.balancer.sent(ticket.id, send.number, clock.monotonic())
+            self._send(send)
+
+        asked = ticket.asked
+        time_left = ticket.deadline - clock.monotonic()
+        self.keyed_requests.claim(asked.operation, time_left, asked.route.target, done)
+
+    def _answer_repeat(self, ticket: Ticket, outcome: ClaimOutcome, decision: ClaimDecision | None) -> None:
+        """Answer a try of a keyed operation that is not sent: it gives back its unit of the quota."""
+        asked = ticket.asked
+        self.balancer.unsent(ticket.id, clock.monotonic())
+        if decision is not None and decision.answer is not None:
+            answer = decision.answer
+            fields = [field for field in answer.headers if field[0] != ATTEMPT_ID]
+            fields.append((ATTEMPT_ID, asked.txn))
+            return self._finish(ticket, lambda c: c.answered(answer.status, fields, answer.body), answer.status)
+        status, reason = REPEATS[outcome]
+        wait = 0.0
+        if outcome is ClaimOutcome.FULL:
+            wait = FULL_RETRY_AFTER_S
+        elif outcome is not ClaimOutcome.UNKNOWN and outcome is not ClaimOutcome.OTHER_REQUEST:
+            wait = max(RETURN_LEAST, 0.5 * self.balancer.kind(ticket.svc, asked.route).work)
+        self._respond(Give(ticket.id, status, wait, reason=reason))
+
+    def _settlement(self, ticket: Ticket, give: Give) -> OperationEnd | OperationWithdrawal:
+        """What the voters are told of an operation whose try is answered so."""
+        claim, now = ticket.claim.claim, clock.monotonic()
+        if give.answer is not None:
+            answer = give.answer
+            fields = [each for each in answer.headers if each[0] not in HOP_BY_HOP]
+            kept = KeptAnswer(answer.status, fields, bytes(answer.body))
+            return self.keyed_requests.claims.end(OperationEnd(claim, kept), now)
+        return self.keyed_requests.claims.withdraw(claim, now)
+
+    def _end_without_answer(self, ticket: Ticket) -> None:
+        """Have it kept that an operation may have run, and that its answer is not known or too large to keep."""
+        claim, ticket.claim = ticket.claim, None
+        if claim is not None:
+            end = self.keyed_requests.claims.end(OperationEnd(claim.claim, None), clock.monotonic())
+            self.keyed_requests.send(end)
+
     def _silent(self, ticket: Ticket, number: int) -> None:
         """An answer has fallen silent midway: another server may be asked, but this one is still waited for."""
         if ticket.client is not None:
@@ -307,6 +413,7 @@
     ) -> None:
         if ticket.client is not None and ticket.passing is not None and ticket.passing is passing:
             self.balancer.passed(ticket.id, number, status, clock.monotonic())
+            self._end_without_answer(ticket)
             if status is Status.OK:
                 self._finish(ticket, lambda c: c.finish(), 200)
             else:
@@ -318,6 +425,21 @@
 
     def _give(self, give: Give) -> None:
         ticket = self.tickets[give.id]
+        if ticket.claim is None:
+            return self._respond(give)
+        if give.answer is None and give.status not in NOT_RUN:
+            self._end_without_answer(ticket)
+            return self._respond(give)
+        # What was answered can be had again, and what has not run can be tried again: that is on disk first.
+        number = ticket.claim.claim.name.number
+        settlement = self._settlement(ticket, give)
+        ticket.claim, ticket.answering = None, give
+        self.keyed_requests.settle(settlement, number, lambda: self._respond(give))
+
+    def _respond(self, give: Give) -> None:
+        ticket = self.tickets.get(give.id)
+        if ticket is None or ticket.client is None:
+            return
         answer = give.answer
         if answer is not None:
             fields = [each for each in answer.headers if each[0] not in HOP_BY_HOP]
@@ -369,7 +491,9 @@
 
     def _expire(self, ticket: Ticket) -> None:
         """The client's time is up: it is answered, unless it has been or a large answer is on its way."""
-        if ticket.client is not None and ticket.passing is None:
+        if ticket.answering is not None:
+            self._respond(ticket.answering)
+        elif ticket.client is not None and ticket.passing is None:
             self._time_out(ticket)
         elif ticket.client is not None:
             self.loop.call_later(OVERTIME, self._break_off, ticket)
@@ -402,5 +526,5 @@
 
     @property
     def under_way(self) -> int:
-        """Requests without an answer, and attempts that are still out."""
-        return len(self.tickets)
+        """Requests without an answer, attempts that are still out, and ends that no majority has on disk."""
+        return len(self.tickets) + self.keyed_requests.claims.unsettled
--- a/crowseam/gateway/load_balancer.py
+++ b/crowseam/gateway/load_balancer.py
@@ -476,6 +476,23 @@
         elif status is not Status.TIMEOUT and sent >= server.failed_at:
             self._fail(server, sent, now)  # a timeout may be the client's doing, who reads slowly
 
+    def sent(self, number: int, attempt: int, now: float) -> None:
+        """An attempt goes out only now: until then the right to send it was waited for."""
+        t = self.tries.get(number)
+        if t is not None and attempt in t.out:
+            server, _ = t.out[attempt]
+            t.out[attempt] = (server, now)
+
+    def unsent(self, number: int, now: float) -> None:
+        """A request whose only attempt was never sent is answered without a server."""
+        t = self.tries.pop(number, None)
+        if t is None:
+            return
+        for server, _ in t.out.values():
+            server.out -= 1
+        if self._has_tenant(t):
+            self.admission.refund(t.tenant, now)
+
     def gone(self, number: int, now: float) -> None:
         """The client has left."""
         if (t := self.tries.pop(number, None)) is not None:
--- a/crowseam/gateway/request_reader.py
+++ b/crowseam/gateway/request_reader.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass
 
 from crowseam.configuration.routing import Route, Table
+from crowseam.gateway.keyed_requests import Operation
+from crowseam.operations import identity
 from fennelpoint.net.backends import HOP_BY_HOP
 from fennelpoint.net.flow import Upload
 from fennelpoint.net.request_fields import BadRequest, sort_fields
@@ -14,7 +16,6 @@
 MOST_LEFT_MS = 600_000  # ms; a longer wait is not meant
 DEFAULT_LEFT = 30.0  # s for clients that don't say how long they wait
 AGAIN = ((b"retry-after", b"0.3"),)  # for who comes before the first configuration is here
-KEYED_LATER = ((b"retry-after", b"1"),)  # for operations that are to run once, which nothing here can promise
 SINGLE = frozenset(
     (b"x-attempt-id", b"x-time-left", b"authorization", b"host", b"content-length", b"transfer-encoding")
 )
@@ -34,6 +35,7 @@
     head: bytes  # request line and fields, without what is told each server anew
     body: bytes
     upload: Upload | None
+    operation: Operation | None = None  # on routes of keyed operations
 
     def render(self, left: float, server: str) -> bytes:
         """The bytes for a server that is waited for this many seconds."""
@@ -75,8 +77,6 @@
         route = table.route(host, url)
         if route is None:
             raise BadRequest("no route begins this path", 404)
-        if route.keyed:
-            raise BadRequest("keyed operations are not served yet", 503, KEYED_LATER)
         tenant = "" if route.public or not table.keyed else self._tenant(table, found)
         txn = found.get(b"x-attempt-id", b"")
         if ID.fullmatch(txn) is None:
@@ -98,8 +98,27 @@
             b"\r\n".join(lines) + b"\r\n",
             body if upload is None else b"",
             upload,
+            self._operation(method, host, url, headers, tenant, body) if route.keyed else None,
         )
 
+    @staticmethod
+    def _operation(
+        method: bytes,
+        host: bytes,
+        url: bytes,
+        headers: list[tuple[bytes, bytes]],
+        tenant: str,
+        body: bytes | Upload,
+    ) -> Operation:
+        try:
+            key = identity.read_key(headers)
+        except identity.OperationKeyError as error:
+            raise BadRequest(str(error)) from error
+        # Of a body that is passed on while it comes nothing is known yet.
+        is_known = not isinstance(body, Upload)
+        fingerprint = identity.fingerprint_of(method, host, url, body) if is_known else b""
+        return Operation(identity.digest_of(tenant, key), fingerprint)
+
     def _tenant(self, table: Table, found: dict[bytes, bytes]) -> str:
         kind, _, key = found.get(b"authorization", b"").partition(b" ")
         if kind.lower() != b"bearer" or (tenant := table.keys.get(key.strip().decode("latin-1"))) is None:
--- /dev/null
+++ b/crowseam/operations/coordinator.py
@@ -0,0 +1,210 @@
+"""A controller's part: it puts a gateway's claim, end or withdrawal to the voters, and counts a majority of them.
+
+A coordinator decides nothing by itself and remembers nothing that matters: a claim is granted by the disks of a
+majority, and another coordinator may settle what this one began.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Collection, Mapping
+
+from crowseam.operations.effects import CoordinatorEffect, Reply, Send
+from crowseam.operations.messages import (
+    ClaimDecision,
+    ClaimName,
+    ClaimOutcome,
+    ClaimVote,
+    KeptAnswer,
+    OperationClaim,
+    OperationEnd,
+    OperationSettled,
+    OperationWithdrawal,
+    RecordAck,
+    RecordClaim,
+    RecordEnd,
+    RecordWithdrawal,
+    Verdict,
+)
+from crowseam.quorum import majority
+
+CLAIM_TIMEOUT_S = 0.2  # for the votes of a claim; its gateway waits a little longer
+RETRANSMIT_INTERVAL_S = 0.25  # of ends and withdrawals
+SETTLE_TIMEOUT_S = 3.0  # after which the gateway has to send an end or a withdrawal again
+# Votes for which a claim would be granted by no other voter: they do not count against the voters' number.
+_RIVALS = (Verdict.RIVAL_AT_WORK, Verdict.RIVAL_UNKNOWN)
+
+
+class _ClaimRound:
+    """A claim that the voters are asked about."""
+
+    __slots__ = ("claim", "gateway", "started_at", "votes")
+
+    def __init__(self, gateway: str, claim: OperationClaim, now: float) -> None:
+        self.gateway = gateway
+        self.claim = claim
+        self.started_at = now
+        self.votes: dict[str, ClaimVote] = {}  # by address
+
+    def decide(self, voters: Mapping[str, str], is_final: bool) -> ClaimDecision | None:
+        """Return the decision by the votes so far; None: more votes may change it, which `is_final` rules out."""
+        votes = [vote for addr, vote in self.votes.items() if addr in voters and voters[addr] == vote.voter_id]
+        for vote in votes:
+            if vote.verdict is Verdict.ANSWERED:
+                return self._decision(ClaimOutcome.ANSWERED, answer=vote.answer)
+            if vote.verdict is Verdict.OTHER_REQUEST:
+                return self._decision(ClaimOutcome.OTHER_REQUEST)
+        needed = majority(len(voters))
+        accepted = sum(vote.verdict is Verdict.ACCEPTED for vote in votes)
+        if voters and accepted >= needed:
+            return self._decision(ClaimOutcome.GRANTED)
+        missing = len(voters) - len(votes)
+        if accepted + missing >= needed and not is_final:
+            return None
+        return self._refusal(votes, needed, missing)
+
+    def _refusal(self, votes: list[ClaimVote], needed: int, missing: int) -> ClaimDecision:
+        rivals = [vote for vote in votes if vote.verdict in _RIVALS]
+        if rivals:
+            votes_by_rival: Counter[ClaimName | None] = Counter(vote.rival for vote in rivals)
+            if max(votes_by_rival.values()) + missing < needed:
+                return self._decision(ClaimOutcome.CONTENDED)
+            remaining_s = max(vote.remaining_s for vote in rivals)
+            is_at_work = any(vote.verdict is Verdict.RIVAL_AT_WORK for vote in rivals)
+            return self._decision(ClaimOutcome.AT_WORK if is_at_work else ClaimOutcome.UNKNOWN, remaining_s)
+        if any(vote.verdict is Verdict.FULL for vote in votes):
+            return self._decision(ClaimOutcome.FULL)
+        return self._decision(ClaimOutcome.NO_QUORUM)
+
+    def _decision(
+        self, outcome: ClaimOutcome, remaining_s: float = 0.0, answer: KeptAnswer | None = None
+    ) -> ClaimDecision:
+        return ClaimDecision(self.claim.name.number, outcome, remaining_s, answer)
+
+
+class _SettleRound:
+    """An end or a withdrawal that a majority is to have on disk. `gateway`: who waits for it; "": nobody."""
+
+    __slots__ = ("acked_by", "gateway", "message", "number", "sent_at", "started_at")
+
+    def __init__(self, gateway: str, number: int, message: RecordEnd | RecordWithdrawal, now: float) -> None:
+        self.gateway = gateway
+        self.number = number  # of the claim
+        self.message = message
+        self.started_at = now
+        self.sent_at = now
+        self.acked_by: dict[str, str] = {}  # ids by address
+
+    def missing(self, voters: Mapping[str, str]) -> list[str]:
+        """Return the voters that have not acknowledged."""
+        return sorted(addr for addr, voter_id in voters.items() if self.acked_by.get(addr) != voter_id)
+
+
+class OperationCoordinator:
+    """The rounds of one controller.
+
+    Numbers of rounds begin above `first_number`, which is to be above all numbers of earlier incarnations, as
+    answers to their requests may come to us. Times are seconds of the steady clock.
+    """
+
+    def __init__(self, first_number: int) -> None:
+        self._last_number = first_number
+        self._claims: dict[int, _ClaimRound] = {}
+        self._settling: dict[int, _SettleRound] = {}
+        self._voters: dict[str, str] = {}  # ids by address
+        self._log_slot = 0
+
+    def __len__(self) -> int:
+        return len(self._claims) + len(self._settling)
+
+    def set_voters(self, voters: Mapping[str, str], log_slot: int) -> None:
+        """Take the voters as they are known here with the newest slot known; to be called before each message."""
+        self._voters = dict(voters)
+        self._log_slot = log_slot
+
+    # What gateways ask for
+
+    def on_claim(
+        self, gateway: str, claim: OperationClaim, reachable: Collection[str], now: float
+    ) -> list[CoordinatorEffect]:
+        """Put a claim to the voters; `reachable` are those in touch, ourselves included."""
+        near = sum(addr in reachable for addr in self._voters)
+        if not self._voters or near < majority(len(self._voters)):
+            return [Reply(gateway, ClaimDecision(claim.name.number, ClaimOutcome.NO_QUORUM))]
+        number = self._next_number()
+        self._claims[number] = _ClaimRound(gateway, claim, now)
+        request = RecordClaim(number, self._log_slot, claim)
+        return [Send(addr, request) for addr in sorted(self._voters)]
+
+    def on_end(self, gateway: str, end: OperationEnd, now: float) -> list[CoordinatorEffect]:
+        """Have the voters keep an end; the gateway is told once a majority has."""
+        number = self._next_number()
+        return self._settle(gateway, end.claim.name.number, RecordEnd(number, end), now)
+
+    def on_withdrawal(self, gateway: str, withdrawal: OperationWithdrawal, now: float) -> list[CoordinatorEffect]:
+        """Have the voters free a key; the gateway is told once a majority has."""
+        number = self._next_number()
+        return self._settle(gateway, withdrawal.name.number, RecordWithdrawal(number, withdrawal), now)
+
+    def _settle(
+        self, gateway: str, claim_number: int, message: RecordEnd | RecordWithdrawal, now: float
+    ) -> list[CoordinatorEffect]:
+        self._settling[message.round_number] = _SettleRound(gateway, claim_number, message, now)
+        return [Send(addr, message) for addr in sorted(self._voters)]
+
+    # What voters answer
+
+    def on_vote(self, addr: str, vote: ClaimVote, now: float) -> list[CoordinatorEffect]:
+        """Count a vote."""
+        claim_round = self._claims.get(vote.round_number)
+        if claim_round is None:
+            return []
+        claim_round.votes[addr] = vote
+        return self._close_if_decided(vote.round_number, claim_round, False, now)
+
+    def _close_if_decided(
+        self, number: int, claim_round: _ClaimRound, is_final: bool, now: float
+    ) -> list[CoordinatorEffect]:
+        decision = claim_round.decide(self._voters, is_final)
+        if decision is None:
+            return []
+        del self._claims[number]
+        effects: list[CoordinatorEffect] = [Reply(claim_round.gateway, decision)]
+        if decision.outcome is not ClaimOutcome.GRANTED:
+            # Voters that have accepted it, or are about to, are not to be left with it.
+            claim = claim_round.claim
+            withdrawal = RecordWithdrawal(self._next_number(), OperationWithdrawal(claim.name, claim.key))
+            effects += self._settle("", claim.name.number, withdrawal, now)
+        return effects
+
+    def on_ack(self, addr: str, ack: RecordAck) -> list[CoordinatorEffect]:
+        """Count an acknowledgement of an end or a withdrawal."""
+        settling = self._settling.get(ack.round_number)
+        if settling is None:
+            return []
+        settling.acked_by[addr] = ack.voter_id
+        missing = settling.missing(self._voters)
+        if not missing:
+            del self._settling[ack.round_number]
+        if settling.gateway and len(self._voters) - len(missing) >= majority(len(self._voters)):
+            gateway, settling.gateway = settling.gateway, ""
+            return [Reply(gateway, OperationSettled(settling.number))]
+        return []
+
+    def tick(self, now: float) -> list[CoordinatorEffect]:
+        """Give up what has waited too long, and ask again for what links may have lost."""
+        effects: list[CoordinatorEffect] = []
+        for number, claim_round in list(self._claims.items()):
+            if now - claim_round.started_at >= CLAIM_TIMEOUT_S:
+                effects += self._close_if_decided(number, claim_round, True, now)
+        for number, settling in list(self._settling.items()):
+            if now - settling.started_at >= SETTLE_TIMEOUT_S:
+                del self._settling[number]
+            elif now - settling.sent_at >= RETRANSMIT_INTERVAL_S:
+                settling.sent_at = now
+                effects += [Send(addr, settling.message) for addr in settling.missing(self._voters)]
+        return effects
+
+    def _next_number(self) -> int:
+        self._last_number += 1
+        return self._last_number
--- /dev/null
+++ b/crowseam/operations/replica.py
@@ -0,0 +1,242 @@
+"""A voter's part: the claims it has accepted and the ends it keeps.
+
+A voter accepts one claim of a key at a time, and says so once that is on its disk. A claim that a majority has
+accepted is granted, so no two of one key are: both majorities have a voter in common, which refuses the second one.
+What has surely not run is withdrawn by its own gateway and by nobody else; all else stays until its window is over.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from crowseam.operations.effects import Persist, ReplicaEffect, Row, Send
+from crowseam.operations.messages import (
+    AgedRecord,
+    ClaimName,
+    ClaimVote,
+    KeptAnswer,
+    OperationClaim,
+    OperationEnd,
+    RecordAck,
+    RecordClaim,
+    RecordEnd,
+    RecordWithdrawal,
+    Verdict,
+)
+from crowseam.operations.records import (
+    OperationRecord,
+    Retention,
+    State,
+    StoredRecord,
+    answer_size,
+    decode_record,
+    row_key,
+)
+
+MAX_ANSWER_BYTES = 64 * 1024  # of an answer that is kept
+REMEMBER_WITHDRAWN_S = 10.0  # for which a late copy of a withdrawn claim is refused
+_EXPIRY_STEP_S = 1.0
+
+
+class OperationReplica:
+    """The records of one voter.
+
+    `voter_id`, `voters_slot` and `is_ready` are kept up to date by the owner: the id of this voter, a slot of the
+    log after which the voters have not changed, and whether it has learned all that was granted before it counted.
+    `max_bytes` bounds what is kept; a claim that would go beyond is refused, and nothing is forgotten early for it.
+    Times are seconds of the steady clock.
+    """
+
+    def __init__(self, voter_id: str, retention: Retention, max_bytes: int, now: float) -> None:
+        self.voter_id = voter_id
+        self.voters_slot = 0
+        self.is_ready = False
+        self.retention = retention
+        self.max_bytes = max_bytes
+        self.used_bytes = 0
+        self._by_key: dict[bytes, dict[ClaimName, OperationRecord]] = {}
+        self._expiring: dict[int, list[tuple[bytes, ClaimName]]] = {}  # by second
+        self._expired_until = int(now)
+        self._withdrawn: dict[ClaimName, float] = {}  # until when each is remembered
+
+    def __len__(self) -> int:
+        return sum(map(len, self._by_key.values()))
+
+    def restore(self, rows: Iterable[bytes], now: float) -> None:
+        """Take what the disk has. Ages begin anew, which frees no key early. Raises msgspec.MsgspecError."""
+        for row in rows:
+            stored = decode_record(row)
+            self._adopt(stored, now, now + self.retention.of_claim(stored.claim))
+
+    # Claims
+
+    def on_claim(self, addr: str, request: RecordClaim, now: float) -> list[ReplicaEffect]:
+        """Accept a claim, or say what stands against it."""
+        claim = request.claim
+        vote = self._vote(request, now)
+        reply = [Send(addr, vote)]
+        if vote.verdict is not Verdict.ACCEPTED:
+            return list(reply)
+        record = self._find(claim.key, claim.name)
+        if record is None:
+            record = self._add(claim, now, now + self.retention.of_claim(claim))
+        return [Persist([Row(row_key(claim), record.encode())], reply)]
+
+    def _vote(self, request: RecordClaim, now: float) -> ClaimVote:
+        number, claim = request.round_number, request.claim
+        if not self.is_ready:
+            return ClaimVote(number, self.voter_id, Verdict.NOT_READY)
+        if request.log_slot < self.voters_slot:
+            return ClaimVote(number, self.voter_id, Verdict.OUTDATED)
+        records = list(self._by_key.get(claim.key, {}).values())
+        obstacle = self._obstacle(claim, records, now)
+        if obstacle is None:
+            return ClaimVote(number, self.voter_id, self._verdict_on_free_key(claim, bool(records)))
+        verdict, record = obstacle
+        answer = record.answer if verdict is Verdict.ANSWERED else None
+        remaining_s = max(0.0, record.run_ends_at - now)
+        return ClaimVote(number, self.voter_id, verdict, record.name, remaining_s, answer)
+
+    def _obstacle(
+        self, claim: OperationClaim, records: list[OperationRecord], now: float
+    ) -> tuple[Verdict, OperationRecord] | None:
+        """Return what of the records of its key stands against a claim, and as what."""
+        for record in records:
+            if self._is_other_request(record.claim, claim):
+                return Verdict.OTHER_REQUEST, record
+            if record.answer is not None:
+                return Verdict.ANSWERED, record
+        for record in records:
+            if record.name != claim.name or record.state is not State.CLAIMED:
+                return Verdict.RIVAL_AT_WORK if record.is_at_work(now) else Verdict.RIVAL_UNKNOWN, record
+        return None
+
+    def _verdict_on_free_key(self, claim: OperationClaim, is_recorded: bool) -> Verdict:
+        if claim.name in self._withdrawn:
+            return Verdict.WITHDRAWN
+        if not is_recorded and not self._has_space():
+            return Verdict.FULL
+        return Verdict.ACCEPTED
+
+    @staticmethod
+    def _is_other_request(recorded: OperationClaim, claim: OperationClaim) -> bool:
+        both_known = bool(recorded.fingerprint and claim.fingerprint)
+        return both_known and recorded.fingerprint != claim.fingerprint
+
+    def _has_space(self) -> bool:
+        return self.used_bytes < self.max_bytes
+
+    # Ends and withdrawals
+
+    def on_end(self, addr: str, request: RecordEnd, now: float) -> list[ReplicaEffect]:
+        """Keep the end of an operation, also where its claim is not known here."""
+        end = request.end
+        record = self._record_end(end, now)
+        ack = Send(addr, RecordAck(request.round_number, self.voter_id))
+        return [Persist([Row(row_key(end.claim), record.encode())], [ack])]
+
+    def _record_end(self, end: OperationEnd, now: float) -> OperationRecord:
+        claim = end.claim
+        record = self._find(claim.key, claim.name)
+        if record is None:
+            record = self._add(claim, now, now + self.retention.of_claim(claim))
+        if record.state is not State.ENDED:
+            answer = self._fitting(end.answer)
+            self._set(record, State.UNKNOWN if answer is None else State.ENDED, answer)
+            self._keep_until(record, now + self.retention.of_end())
+        return record
+
+    def _fitting(self, answer: KeptAnswer | None) -> KeptAnswer | None:
+        """Return the answer if there is space for it. What is at work has space set aside."""
+        if answer is None or answer_size(answer) > MAX_ANSWER_BYTES:
+            return None
+        return answer if self.used_bytes + answer_size(answer) <= self.max_bytes + MAX_ANSWER_BYTES else None
+
+    def on_withdrawal(self, addr: str, request: RecordWithdrawal, now: float) -> list[ReplicaEffect]:
+        """Free a key whose operation has not run. What has ended is never withdrawn."""
+        withdrawal = request.withdrawal
+        record = self._find(withdrawal.key, withdrawal.name)
+        self._withdrawn[withdrawal.name] = now + REMEMBER_WITHDRAWN_S
+        ack = Send(addr, RecordAck(request.round_number, self.voter_id))
+        if record is None:
+            return [Persist([], [ack])]  # in order, behind what may still be on its way to the disk
+        if record.state is not State.CLAIMED:
+            return []
+        self._remove(record)
+        return [Persist([Row(row_key(record.claim), None)], [ack])]
+
+    def expire(self, now: float) -> list[Row]:
+        """Forget what is past its window; returns the rows to remove. To be called about once a second."""
+        rows: list[Row] = []
+        for second in range(self._expired_until, int(now)):
+            for key, name in self._expiring.pop(second, ()):
+                record = self._find(key, name)
+                if record is not None and record.expires_at <= now:
+                    self._remove(record)
+                    rows.append(Row(row_key(record.claim), None))
+        self._expired_until = max(self._expired_until, int(now))
+        self._withdrawn = {name: until for name, until in self._withdrawn.items() if until > now}
+        return rows
+
+    # Learning
+
+    def aged_records(self, now: float) -> list[AgedRecord]:
+        """Return all that is kept here, for a voter that has just joined."""
+        return [
+            AgedRecord(record.encode(), max(0.0, record.expires_at - now))
+            for records in self._by_key.values()
+            for record in records.values()
+        ]
+
+    def learn(self, learned: Iterable[AgedRecord], now: float) -> list[Row]:
+        """Add what another voter has; returns the rows to write. Claims that contradict stand side by side."""
+        rows = []
+        for each in learned:
+            stored = decode_record(each.stored)
+            record = self._adopt(stored, now, now + each.remaining_s + _EXPIRY_STEP_S)
+            rows.append(Row(row_key(record.claim), record.encode()))
+        return rows
+
+    def _adopt(self, stored: StoredRecord, now: float, expires_at: float) -> OperationRecord:
+        claim = stored.claim
+        record = self._find(claim.key, claim.name)
+        if record is None:
+            record = self._add(claim, now, expires_at)
+        if stored.state is not State.CLAIMED and record.state is not State.ENDED:
+            self._set(record, stored.state, stored.answer)
+        self._keep_until(record, expires_at)
+        return record
+
+    # Records
+
+    def _find(self, key: bytes, name: ClaimName) -> OperationRecord | None:
+        return self._by_key.get(key, {}).get(name)
+
+    def _add(self, claim: OperationClaim, now: float, expires_at: float) -> OperationRecord:
+        record = OperationRecord(claim, now, expires_at)
+        self._by_key.setdefault(claim.key, {})[claim.name] = record
+        self.used_bytes += record.size
+        self._schedule_expiry(record)
+        return record
+
+    def _set(self, record: OperationRecord, state: State, answer: KeptAnswer | None) -> None:
+        self.used_bytes -= record.size
+        record.state = state
+        record.answer = answer
+        self.used_bytes += record.size
+
+    def _keep_until(self, record: OperationRecord, expires_at: float) -> None:
+        if expires_at > record.expires_at:
+            record.expires_at = expires_at
+            self._schedule_expiry(record)
+
+    def _schedule_expiry(self, record: OperationRecord) -> None:
+        second = int(record.expires_at) + 1
+        self._expiring.setdefault(second, []).append((record.claim.key, record.name))
+
+    def _remove(self, record: OperationRecord) -> None:
+        records = self._by_key[record.claim.key]
+        del records[record.name]
+        if not records:
+            del self._by_key[record.claim.key]
+        self.used_bytes -= record.size
--- a/crowseam/settings.py
+++ b/crowseam/settings.py
@@ -51,7 +51,17 @@
     regions: int = 0
 
 
-TIMES = ("contact", "ack", "sync_time", "drain", "grace", "apply", "retry_window", "quota_window")  # of `Bounds`
+TIMES = (
+    "contact",
+    "ack",
+    "sync_time",
+    "drain",
+    "grace",
+    "apply",
+    "retry_window",
+    "quota_window",
+    "key_window",
+)  # of `Bounds`
 
 
 class Bounds(msgspec.Struct, frozen=True):
@@ -67,6 +77,7 @@
     retry_window: str = "10s"
     retry_slack: float = 60
     quota_window: str = "5s"
+    key_window: str = "60s"
     quota_excess: float = 0.1
     quota_slack: float = 20
 
--- a/crowseam/simulator/world/disk.py
+++ b/crowseam/simulator/world/disk.py
@@ -16,7 +16,7 @@
 )
 from crowseam.simulator.world.loop import ProcessLoop
 from crowseam.storage.errors import StoreError
-from crowseam.storage.records import Member, Note
+from crowseam.storage.records import Member, Note, OperationRow
 
 SYNC = 0.002  # s that a sync takes
 SLOW = 0.5  # s after which a pending write counts as stuck
@@ -43,6 +43,7 @@
         self.saved: SnapshotRecord | None = None
         self.notes: dict[str, bytes] = {}
         self.members: dict[str, bytes] = {}
+        self.operations: dict[str, bytes] = {}
 
     def keep(self, records: Iterable[object]) -> None:
         """Take in one transaction, which is synced from now on."""
@@ -73,6 +74,8 @@
                 _set(self.notes, key, value)
             case Member(name=name, value=value):
                 _set(self.members, name, value)
+            case OperationRow(key=key, value=value):
+                _set(self.operations, key, value)
             case _:
                 raise TypeError(f"no record: {record!r}")
 
@@ -133,6 +136,10 @@
         """The members that are kept, by name."""
         return dict(self.disk_image.members)
 
+    def operations(self) -> list[bytes]:
+        """The records of keyed operations that are kept."""
+        return list(self.disk_image.operations.values())
+
     def close(self) -> None:
         """Nothing is to be closed."""
         pass
--- a/crowseam/storage/database.py
+++ b/crowseam/storage/database.py
@@ -30,18 +30,25 @@
     """One file at `path`; calls block until the disk has answered. Any thread, one at a time.
 
     `tables` has the SQL type of the key of each table, and `critical` names those of which no row may be lost.
+    `added` names those that files of earlier versions lack: they are created there.
     `check` may raise DamagedRowsError for what the rows say together. `was_quarantined` tells after `open`
     whether a damaged file was put aside.
     """
 
     def __init__(
-        self, path: Path, tables: Mapping[str, str], critical: tuple[str, ...], check: Callable[[], None]
+        self,
+        path: Path,
+        tables: Mapping[str, str],
+        critical: tuple[str, ...],
+        check: Callable[[], None],
+        added: frozenset[str] = frozenset(),
     ) -> None:
         self.path = path
         self.was_quarantined = False
         self._tables = tables
         self._critical = critical
         self._check = check
+        self._added = added
         self._connection: sqlite3.Connection | None = None
 
     def open(self) -> None:
@@ -99,7 +106,7 @@
 
     def _create_tables(self, connection: sqlite3.Connection) -> None:
         found = {name for (name,) in connection.execute("SELECT name FROM sqlite_master WHERE type = 'table'")}
-        if found and not found.issuperset(self._tables):
+        if found and not found.issuperset(self._tables.keys() - self._added):
             raise DamagedRowsError("a table is missing")
         schema = "".join(
             f"CREATE TABLE IF NOT EXISTS {name} (key {key_type} PRIMARY KEY, body BLOB NOT NULL, sum BLOB NOT NULL);"
--- a/crowseam/storage/records.py
+++ b/crowseam/storage/records.py
@@ -12,6 +12,13 @@
     value: bytes | None
 
 
+class OperationRow(msgspec.Struct, frozen=True):
+    """A record of a keyed operation under `key`; None removes it."""
+
+    key: str
+    value: bytes | None
+
+
 class Member(msgspec.Struct, frozen=True):
     """A gateway that may hold a lease, under its `name`; None removes it."""
 
--- a/crowseam/storage/store.py
+++ b/crowseam/storage/store.py
@@ -28,7 +28,7 @@
 )
 from crowseam.storage.database import DamagedRowsError, Database, sync_directory
 from crowseam.storage.errors import StoreError
-from crowseam.storage.records import Member, Note
+from crowseam.storage.records import Member, Note, OperationRow
 
 _TABLES = {
     "identity": "TEXT",
@@ -38,8 +38,10 @@
     "saved": "INTEGER",
     "notes": "TEXT",
     "members": "TEXT",
+    "operations": "TEXT",
 }
-_CRITICAL_TABLES = ("identity", "promises", "votes")
+_CRITICAL_TABLES = ("identity", "promises", "votes", "operations")
+_ADDED_TABLES = frozenset({"operations"})
 # Keys of the table `identity`.
 _ID_KEY = "id"
 _HIGHEST_CHOSEN_KEY = "floor"
@@ -68,7 +70,7 @@
     """One database file at `path`; calls block until the disk has answered. Any thread, one at a time."""
 
     def __init__(self, path: str | os.PathLike[str]) -> None:
-        self._database = Database(Path(path), _TABLES, _CRITICAL_TABLES, self._check_identity)
+        self._database = Database(Path(path), _TABLES, _CRITICAL_TABLES, self._check_identity, _ADDED_TABLES)
 
     @property
     def path(self) -> Path:
@@ -137,6 +139,13 @@
         """Return all members that are not damaged, by name. Raises StoreError."""
         return self._undamaged("members")
 
+    def operations(self) -> list[bytes]:
+        """Return the records of keyed operations. Raises StoreError."""
+        try:
+            return [body for _, body in self._database.rows("operations")]
+        except (sqlite3.Error, UnicodeDecodeError, DamagedRowsError) as error:
+            raise StoreError(f"cannot read the operations of the store: {error}") from error
+
     def _undamaged(self, table: str) -> dict[str, bytes]:
         try:
             return dict(self._database.rows(table, skip_damaged=True))
@@ -145,7 +154,7 @@
 
     # Writing
 
-    def write(self, records: Iterable[Record | Note | Member]) -> None:
+    def write(self, records: Iterable[Record | Note | Member | OperationRow]) -> None:
         """Write all records in one transaction; they are synced when this returns.
 
         Raises
@@ -160,7 +169,7 @@
         except (sqlite3.Error, UnicodeDecodeError) as error:
             raise StoreError(f"cannot write: {error}") from error
 
-    def _write(self, record: Record | Note | Member) -> None:
+    def _write(self, record: Record | Note | Member | OperationRow) -> None:
         put = self._database.put
         match record:
             case IdentityRecord(id=voter_id):
@@ -181,6 +190,8 @@
                 self._database.put_or_remove("notes", key, value)
             case Member(name=name, value=value):
                 self._database.put_or_remove("members", name, value)
+            case OperationRow(key=key, value=value):
+                self._database.put_or_remove("operations", key, value)
             case _:
                 assert_never(record)
 
--- a/crowseam/transport/messages.py
+++ b/crowseam/transport/messages.py
@@ -15,12 +15,13 @@
 from crowseam.discovery.voter_catch_up import StateTransferReply, StateTransferRequest
 from crowseam.membership import role_messages
 from crowseam.membership.sessions import SessionUpdate
+from crowseam.operations import messages as operations
 from crowseam.quotas.lease_messages import LeaseReport, QuotaLease
 
 # The version of the protocol between the system's processes. To be raised with each change that a process of the
 # version before would misread. The fields of the greetings (PeerGreeting, OpenSession, SessionOpened) stay where they
 # are for good, so that any two versions read each other's greeting.
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 UNVERSIONED = 1  # the version of processes whose greetings do not name one
 
 
@@ -280,4 +281,5 @@
     | StateTransferRequest
     | StateTransferReply
     | FollowingLog
+    | operations.Message
 )
--- a/tests/crowseam/golden_samples.py
+++ b/tests/crowseam/golden_samples.py
@@ -27,6 +27,7 @@
 from crowseam.control_calls import TABLE
 from crowseam.controller import state_machine
 from crowseam.metrics import exposition, families
+from crowseam.operations import records as operation_records
 from crowseam.settings import parse
 from crowseam.simulator.world.patches import simulated_environment
 from crowseam.storage import records as storage_records
@@ -75,6 +76,8 @@
             return {sample(key, depth + 1): sample(value, depth + 2)}
         case inspect.LiteralType(values=values):
             return values[depth % len(values)]
+        case inspect.EnumType(cls=members):
+            return list(members)[depth % len(members)]
         case inspect.IntType():
             return 100 + depth
         case inspect.FloatType():
@@ -119,6 +122,14 @@
     ]
 
 
+def stored_operation() -> dict[str, str]:
+    """The row of a keyed operation on disk: its key, and its value in hexadecimal."""
+    stored = sample(inspect.type_info(operation_records.StoredRecord))
+    record = operation_records.OperationRecord(stored.claim, 0.0, 0.0)
+    record.state, record.answer = stored.state, stored.answer
+    return {"key": operation_records.row_key(stored.claim), "value": record.encode().hex()}
+
+
 def configuration(ver: int, parent: int) -> bytes:
     """The body of a configuration."""
     return test_controller.config(ver, parent, f"/loans/{ver}/")
@@ -197,6 +208,7 @@
     """Write all golden files."""
     FOLDER.mkdir(exist_ok=True)
     _write_json("messages.json", encoded_messages())
+    _write_json("operations.json", stored_operation())
     _write_json("files.json", parsed_files())
     _write_json("control_calls.json", control_answers())
     (FOLDER / "controller_metrics.txt").write_text(metrics_page())
