Model check of keyed operations, with 24 mutants; a newcomer whose disk refuses learns anew

Cause: the parts of keyed operations had no check.

Change: crowseam.model_checks.operations drives the operation service and the gateway as they run, with disks, links, servers and clients of its own. What is not saved is asked for again; a majority of the voters in force may teach, too.

--- a/crowseam/controller/operation_service.py
+++ b/crowseam/controller/operation_service.py
@@ -55,6 +55,10 @@
 class OperationService:
     """Puts the calls of gateways to the voters, and answers as a voter. Times are seconds of the steady clock."""
 
+    replica_type = OperationReplica
+    coordinator_type = OperationCoordinator
+    catch_up_type = OperationCatchUp
+
     def __init__(
         self,
         settings: Settings,
@@ -70,9 +74,9 @@
         self.node = peers.node
         retention = Retention(seconds(settings.bounds.key_window, "bounds.key_window"))
         voter_id = self.node.me.id
-        self.replica = OperationReplica(voter_id, retention, max_bytes(settings), now)
-        self.coordinator = OperationCoordinator(first_number)
-        self.catch_up = OperationCatchUp(
+        self.replica = self.replica_type(voter_id, retention, max_bytes(settings), now)
+        self.coordinator = self.coordinator_type(first_number)
+        self.catch_up = self.catch_up_type(
             voter_id, store.has_counted_for_operations, retention.longest(MAX_SEND_WITHIN_S)
         )
         self._view: _VoterView | None = None
@@ -162,7 +166,9 @@
         is_complete = self.catch_up.is_complete_with(part)
 
         def done(ok: bool) -> None:
-            if ok and is_complete:
+            if not ok:
+                self.catch_up.reply_not_saved(part.number)
+            elif is_complete:
                 self.catch_up.reply_saved(part.number)
                 logs.say("operations_learned", records=len(self.replica))
 
--- a/crowseam/gateway/gateway.py
+++ b/crowseam/gateway/gateway.py
@@ -64,6 +64,7 @@
     passing: Passing | None = None
     drawing: bool = False  # the reserve has been asked for it
     svc: str = ""  # the service of its servers, once one was chosen
+    claim_outcome: ClaimOutcome | None = None  # where its operation was not granted
     claim: GrantedClaim | None = None  # of its operation, on routes of keyed ones
     answering: Give | None = None  # its answer, which waits until the end of its operation is kept
 
@@ -384,6 +385,9 @@
             wait = FULL_RETRY_AFTER_S
         elif outcome is not ClaimOutcome.UNKNOWN and outcome is not ClaimOutcome.OTHER_REQUEST:
             wait = max(RETURN_LEAST, 0.5 * self.balancer.kind(ticket.svc, asked.route).work)
+        ticket.claim_outcome = outcome
+        if status not in NOT_RUN:
+            logs.say("operation_repeated", id=asked.txn.decode("latin-1"), status=status, reason=reason)
         self._respond(Give(ticket.id, status, wait, reason=reason))
 
     def _settlement(self, ticket: Ticket, give: Give) -> OperationEnd | OperationWithdrawal:
@@ -452,14 +456,15 @@
                 "share": -1.0 if held.share is None else held.share,
                 "rate": self.table.tenants[ticket.asked.tenant].rate,
             }
-        logs.say(
-            "refused" if give.status in NOT_RUN else "failed",
-            id=ticket.asked.txn.decode("latin-1"),
-            status=give.status,
-            reason=give.reason,
-            route=ticket.asked.route.name,
-            **fields,
-        )
+        if ticket.claim_outcome is None or give.status in NOT_RUN:
+            logs.say(
+                "refused" if give.status in NOT_RUN else "failed",
+                id=ticket.asked.txn.decode("latin-1"),
+                status=give.status,
+                reason=give.reason,
+                route=ticket.asked.route.name,
+                **fields,
+            )
         fields = [(REASON, give.reason.encode())]
         wait = give.retry_after
         if give.reason == "quota" and clock.monotonic() < self.begun + YOUNG:
--- a/crowseam/majority_catch_up.py
+++ b/crowseam/majority_catch_up.py
@@ -6,12 +6,20 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from typing import NamedTuple
 
 from crowseam.quorum import majority
 
 _NEVER = float("-inf")
 
 
+class _Sources(NamedTuple):
+    """Voters, by id, of which so many are a majority."""
+
+    ids: frozenset[str]
+    needed: int
+
+
 class MajorityCatchUp:
     """What the controller with the voter's id `me` still has to learn.
 
@@ -37,7 +45,7 @@
         self._learns_before_joining = learns_before_joining
         self._voters: dict[str, str] | None = None  # ids by address
         self._sources: dict[str, str] = {}  # addresses by id of those to learn from
-        self._needed = 0
+        self._majorities: list[_Sources] = []  # any of which is enough to learn from
         self._number = 0
         self._answered: set[str] = set()
         self._started_at = 0.0
@@ -85,28 +93,45 @@
     def _count(self, voter_id: str) -> bool:
         """Count a complete answer; whether a majority has answered."""
         self._answered.add(voter_id)
-        return len(self._answered) >= self._needed
+        return any(len(self._answered & each.ids) >= each.needed for each in self._majorities)
 
     def reply_saved(self, number: int) -> None:
         """Note that what came with the answers to this number is on disk."""
         if number == self._number and not self.ready:
             self._finish()
 
+    def reply_not_saved(self, number: int) -> None:
+        """Note that what came with the answers to this number is not on disk: all of them are asked again."""
+        if number == self._number and not self.ready:
+            self._begin()
+
     def _is_voter(self) -> bool:
         return self._voters is not None and self.me in self._voters.values()
 
     def _start(self, voters: Mapping[str, str], now: float) -> None:
-        self._sources = {voter_id: addr for addr, voter_id in voters.items() if voter_id != self.me}
-        self._needed = min(majority(len(voters)), len(self._sources))
-        self._number += 1
-        self._answered = set()
+        self._sources = {}
+        self._majorities = []
+        self._add_sources(voters)
         self.ready = False
         self.gave_up = False
         self._started_at = now
-        self._requested_at = _NEVER
+        self._begin()
         if not self._sources:
             self._finish()
 
+    def _add_sources(self, voters: Mapping[str, str]) -> None:
+        """Let a majority of these voters be enough to learn from."""
+        others = {voter_id: addr for addr, voter_id in voters.items() if voter_id != self.me}
+        # A machine has one id at a time: who has lost its disk does not answer under the old one.
+        kept = {voter_id: addr for voter_id, addr in self._sources.items() if addr not in voters}
+        self._sources = kept | others
+        self._majorities.append(_Sources(frozenset(others), min(majority(len(voters)), len(others))))
+
+    def _begin(self) -> None:
+        self._number += 1
+        self._answered = set()
+        self._requested_at = _NEVER
+
     def _finish(self) -> None:
         self.ready = True
         self.counts = self.counts or self._is_voter()
--- /dev/null
+++ b/crowseam/model_checks/operations/__init__.py
@@ -0,0 +1,1 @@
+"""The model check of keyed operations."""
--- /dev/null
+++ b/crowseam/model_checks/operations/mutants.py
@@ -0,0 +1,279 @@
+"""The code of keyed operations without one of its guards each: the check has to find what that brings about."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from crowseam.controller.operation_service import OperationService
+from crowseam.gateway.gateway import Gateway
+from crowseam.gateway.keyed_requests import KeyedRequests
+from crowseam.gateway.load_balancer import Send
+from crowseam.model_checks.operations.check import Types, run
+from crowseam.model_checks.operations.machines import Controller, GatewayMachine
+from crowseam.model_checks.schedules import Mutant, Report
+from crowseam.operations import catch_up, coordinator, replica
+from crowseam.operations.effects import Persist, Reply
+from crowseam.operations.messages import (
+    ClaimOutcome,
+    LearnOperations,
+    OperationClaim,
+    OperationSettled,
+    RecordClaim,
+    RecordEnd,
+    RecordWithdrawal,
+    Verdict,
+)
+from crowseam.operations.records import OperationRecord, State
+from crowseam.quorum import majority
+
+
+def _service(base: type = OperationService, **parts: Any) -> Callable[[Iterable[int]], Report]:
+    """Schedules in which controllers have another service."""
+    service = type("MutatedService", (base,), parts)
+    controller = type("MutatedController", (Controller,), {"service_type": service})
+    return lambda seeds: run(seeds, types=Types(controller=controller))
+
+
+def _gateway(**parts: Any) -> Callable[[Iterable[int]], Report]:
+    """Schedules in which gateways have other parts."""
+    gateway = type("MutatedGateway", (GatewayMachine,), parts)
+    return lambda seeds: run(seeds, types=Types(gateway=gateway))
+
+
+# Voters
+
+
+class _AcceptsSecond(replica.OperationReplica):
+    def _obstacle(self, claim: OperationClaim, records: list[OperationRecord], now: float) -> Any:
+        found = super()._obstacle(claim, records, now)
+        return found if found is not None and found[1].answer is not None else None
+
+
+class _AcceptsOutdated(replica.OperationReplica):
+    def on_claim(self, addr: str, request: RecordClaim, now: float) -> Any:
+        return super().on_claim(addr, RecordClaim(request.round_number, 1 << 60, request.claim), now)
+
+
+class _AnyFingerprint(replica.OperationReplica):
+    @staticmethod
+    def _is_other_request(recorded: OperationClaim, claim: OperationClaim) -> bool:
+        return False
+
+
+class _WithdrawsAny(replica.OperationReplica):
+    def on_withdrawal(self, addr: str, request: RecordWithdrawal, now: float) -> Any:
+        for name, record in list(self._by_key.get(request.withdrawal.key, {}).items()):
+            if record.state is State.CLAIMED and name != request.withdrawal.name:
+                self._remove(record)
+        return super().on_withdrawal(addr, request, now)
+
+
+class _WithdrawsEnded(replica.OperationReplica):
+    def on_withdrawal(self, addr: str, request: RecordWithdrawal, now: float) -> Any:
+        record = self._find(request.withdrawal.key, request.withdrawal.name)
+        if record is not None:
+            self._set(record, State.CLAIMED, None)
+        return super().on_withdrawal(addr, request, now)
+
+
+class _ForgetsOldest(replica.OperationReplica):
+    def _has_space(self) -> bool:
+        while self.used_bytes >= self.max_bytes and self._by_key:
+            oldest = next(iter(self._by_key.values()))
+            self._remove(next(iter(oldest.values())))
+        return True
+
+
+class _ForgetsAtStart(replica.OperationReplica):
+    def restore(self, rows: Iterable[bytes], now: float) -> None:
+        super().restore([], now)
+
+
+class _ForgetsEarly(replica.OperationReplica):
+    def _add(self, claim: OperationClaim, now: float, expires_at: float) -> OperationRecord:
+        return super()._add(claim, now, now + 0.2 * (expires_at - now))
+
+
+class _DropsAnswers(replica.OperationReplica):
+    def _fitting(self, answer: Any) -> Any:
+        return None
+
+
+class _EndsUnwritten(replica.OperationReplica):
+    def on_end(self, addr: str, request: RecordEnd, now: float) -> Any:
+        (effect,) = super().on_end(addr, request, now)
+        return list(effect.then)
+
+
+class _AnswersUnwritten(OperationService):
+    def _persist(self, persist: Persist) -> None:
+        self.peers.post_all(persist.then)
+        super()._persist(Persist(persist.rows, []))
+
+
+# Coordinators
+
+
+class _GrantsAtMinority(coordinator.OperationCoordinator):
+    def on_vote(self, addr: str, vote: Any, now: float) -> Any:
+        effects = super().on_vote(addr, vote, now)
+        claim_round = self._claims.get(vote.round_number)
+        if claim_round is None:
+            return effects
+        accepted = sum(each.verdict is Verdict.ACCEPTED for each in claim_round.votes.values())
+        if accepted < majority(len(self._voters)) - 1:
+            return effects
+        del self._claims[vote.round_number]
+        return [*effects, Reply(claim_round.gateway, claim_round._decision(ClaimOutcome.GRANTED))]
+
+
+class _SettlesAtOne(coordinator.OperationCoordinator):
+    def on_ack(self, addr: str, ack: Any) -> Any:
+        settling = self._settling.get(ack.round_number)
+        effects = super().on_ack(addr, ack)
+        if settling is not None and settling.gateway:
+            effects.append(Reply(settling.gateway, OperationSettled(settling.number)))
+        return effects
+
+
+# Newcomers
+
+
+class _CountsBlank(catch_up.OperationCatchUp):
+    def set_voters(self, voters: Any, now: float) -> None:
+        super().set_voters(voters, now)
+        self.ready = True
+        self.counts = self._is_voter()
+
+
+class _LearnsOfOne(catch_up.OperationCatchUp):
+    def _count(self, voter_id: str) -> bool:
+        super()._count(voter_id)
+        return True
+
+
+class _TeachesUnlearned(catch_up.OperationCatchUp):
+    def answer(self, *args: Any) -> Any:
+        counts, self.counts = self.counts, True
+        try:
+            return super().answer(*args)
+        finally:
+            self.counts = counts
+
+
+class _TeachesBehind(catch_up.OperationCatchUp):
+    def answer(
+        self,
+        addr: str,
+        request: LearnOperations,
+        kept: Any,
+        log_slot: int,
+        voters_slot: int,
+        now: float,
+    ) -> Any:
+        newest = max(log_slot, request.log_slot)
+        request = LearnOperations(request.number, newest, request.voters_slot, request.position)
+        return super().answer(addr, request, kept, newest, voters_slot, now)
+
+
+class _CountsUnwritten(OperationService):
+    def on_learned(self, addr: str, part: Any, now: float) -> None:
+        super().on_learned(addr, part, now)
+        answered = self.catch_up._answered
+        majorities = self.catch_up._majorities
+        if any(len(answered & each.ids) >= each.needed for each in majorities):
+            self.catch_up.reply_saved(part.number)
+
+
+# Gateways
+
+
+class _SendsUngranted(Gateway):
+    def _may_send(self, ticket: Any, send: Send) -> bool:
+        return True
+
+
+class _SendsLate(Gateway):
+    def _may_send(self, ticket: Any, send: Send) -> bool:
+        return ticket.claim is not None or super()._may_send(ticket, send)
+
+
+class _WithdrawsWhatMayHaveRun(Gateway):
+    def _end_without_answer(self, ticket: Any) -> None:
+        claim, ticket.claim = ticket.claim, None
+        if claim is not None:
+            self.keyed_requests.withdraw(claim)
+
+
+class _DropsDepartedRuns(Gateway):
+    def gone(self, request: int) -> None:
+        ticket = self.tickets.get(request)
+        if ticket is not None and ticket.claim is not None:
+            self.keyed_requests.withdraw(ticket.claim)
+            ticket.claim = None
+        super().gone(request)
+
+
+class _ClaimsTwiceUnderOneName(KeyedRequests):
+    """Puts a claim without a decision to the next controller as it is."""
+
+    def on_connected(self) -> None:
+        for number in self._claiming:
+            self.send(self.claims._waiting[number].claim)
+        for message in self.claims.unsettled_messages(0.0):
+            self.send(message)
+
+
+class _UsesAbandonedGrants(KeyedRequests):
+    """Takes a grant that comes after its request was refused for the next try of the operation."""
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self._abandoned: dict[int, Any] = {}
+        self._late: dict[bytes, Any] = {}
+
+    def _abandon(self, number: int) -> None:
+        self._abandoned[number] = self.claims._waiting.get(number)
+        super()._abandon(number)
+
+    def on_decision(self, decision: Any) -> None:
+        granted = self._abandoned.pop(decision.number, None)
+        if granted is not None and decision.outcome is ClaimOutcome.GRANTED:
+            self._late[granted.claim.key] = granted
+        super().on_decision(decision)
+
+    def claim(self, operation: Any, time_left_s: float, target_s: float, done: Any) -> None:
+        late = self._late.pop(operation.key, None)
+        if late is not None:
+            done(ClaimOutcome.GRANTED, None, late)
+        else:
+            super().claim(operation, time_left_s, target_s, done)
+
+
+MUTANTS = [
+    Mutant("one claim of a key at a time", _service(replica_type=_AcceptsSecond)),
+    Mutant("a coordinator that does not know the voters is refused", _service(replica_type=_AcceptsOutdated)),
+    Mutant("another request with the key is told apart", _service(replica_type=_AnyFingerprint)),
+    Mutant("a withdrawal frees its own claim alone", _service(replica_type=_WithdrawsAny)),
+    Mutant("what has ended is not withdrawn", _service(replica_type=_WithdrawsEnded)),
+    Mutant("nothing is forgotten early to make room", _service(replica_type=_ForgetsOldest)),
+    Mutant("records are read back at a start", _service(replica_type=_ForgetsAtStart)),
+    Mutant("a key is kept for its window", _service(replica_type=_ForgetsEarly)),
+    Mutant("an end has its answer", _service(replica_type=_DropsAnswers)),
+    Mutant("an end is on disk before it is acknowledged", _service(replica_type=_EndsUnwritten)),
+    Mutant("a claim is on disk before it is accepted", _service(_AnswersUnwritten)),
+    Mutant("a claim is granted by a majority", _service(coordinator_type=_GrantsAtMinority)),
+    Mutant("an end is kept by a majority", _service(coordinator_type=_SettlesAtOne)),
+    Mutant("a newcomer learns before it votes", _service(catch_up_type=_CountsBlank)),
+    Mutant("a newcomer learns of a majority", _service(catch_up_type=_LearnsOfOne)),
+    Mutant("who has not learned does not teach", _service(catch_up_type=_TeachesUnlearned)),
+    Mutant("who does not know of a newcomer does not teach it", _service(catch_up_type=_TeachesBehind)),
+    Mutant("what is learned is on disk before it counts", _service(_CountsUnwritten)),
+    Mutant("nothing is sent without a grant", _gateway(gateway_type=_SendsUngranted)),
+    Mutant("nothing is sent after its time", _gateway(gateway_type=_SendsLate)),
+    Mutant("only what has surely not run is withdrawn", _gateway(gateway_type=_WithdrawsWhatMayHaveRun)),
+    Mutant("a run goes on when its client has left", _gateway(gateway_type=_DropsDepartedRuns)),
+    Mutant("a claim is put to one coordinator", _gateway(keyed_requests_type=_ClaimsTwiceUnderOneName)),
+    Mutant("a grant after the refusal is not used", _gateway(keyed_requests_type=_UsesAbandonedGrants)),
+]
--- a/crowseam/operations/catch_up.py
+++ b/crowseam/operations/catch_up.py
@@ -41,6 +41,18 @@
         self._positions: dict[str, int] = {}  # from where on each voter is to be asked, by id
         self._offers: dict[str, _Offer] = {}  # by address
 
+    def set_voters(self, voters: Mapping[str, str], now: float) -> None:
+        """Take the voters as they are known here; a majority of those in force may teach as well as of those before.
+
+        Of the voters before so many may have lost their disks while this one learns that they are no majority.
+        """
+        was_learning = self.is_catching_up and voters != self._voters
+        super().set_voters(voters, now)
+        if was_learning and voters and self.is_catching_up:
+            del self._majorities[1:]
+            self._add_sources(voters)
+            self._begin()
+
     def tick(self, now: float, log_slot: int, voters_slot: int) -> list[OutgoingLearnRequest]:
         """Return the requests that are due; to be called some times a second."""
         by_addr = {addr: voter_id for voter_id, addr in self._sources.items()}
@@ -105,6 +117,6 @@
         """Count the last part of a voter; whether a majority is then complete, once all of it is on disk."""
         return not part.next_position and self.is_expected(part) and self._count(part.voter_id)
 
-    def _start(self, voters: Mapping[str, str], now: float) -> None:
+    def _begin(self) -> None:
         self._positions = {}
-        super()._start(voters, now)
+        super()._begin()
