--- a/crowseam/cli/soak_command.py
+++ b/crowseam/cli/soak_command.py
@@ -10,7 +10,8 @@
 import msgspec
 
 from crowseam.cli.console import number
-from crowseam.cli.errors import DONE, FAILED
+from crowseam.cli.errors import DONE, FAILED, CommandError
+from crowseam.soak.fleet import AddressInUseError
 from crowseam.soak.soak import Plan, Result, run
 
 FIRST_NETWORK = 64  # second number of the loopback addresses of the first soak; others at the same time have the next
@@ -42,10 +43,13 @@
     # One after the other on each network, whose addresses the next soak takes over.
     lanes = [work[place::jobs] for place in range(jobs)]
     with multiprocessing.get_context("spawn").Pool(jobs) as pool:
-        for results in pool.imap_unordered(_lane, lanes):
-            for result in results:
-                broken += bool(result.violations)
-                _write(result, bool(args["--json"]))
+        try:
+            for results in pool.imap_unordered(_lane, lanes):
+                for result in results:
+                    broken += bool(result.violations)
+                    _write(result, bool(args["--json"]))
+        except AddressInUseError as error:
+            raise CommandError(f"another soak or demonstration runs here: {error}") from error
     sys.stdout.write(f"{len(seeds)} soaks, {broken} with a broken promise\n")
     return FAILED if broken else DONE
 
--- a/crowseam/gateway/keyed_requests.py
+++ b/crowseam/gateway/keyed_requests.py
@@ -163,12 +163,12 @@
         A claim is put to one controller only: that one may withdraw it while another one would grant it. So what
         has no decision is claimed anew under another name.
         """
+        for message in self.claims.unsettled_messages(clock.monotonic()):
+            self.send(message)
         waiting, self._claiming = list(self._claiming.values()), {}
         for claiming in waiting:
             self._abandon(claiming.number)
             self._begin(claiming)
-        for message in self.claims.unsettled_messages(clock.monotonic()):
-            self.send(message)
 
     def tick(self, now: float) -> None:
         """Send again what is not settled; to be called some times a second."""
--- a/crowseam/soak/fleet.py
+++ b/crowseam/soak/fleet.py
@@ -6,6 +6,7 @@
 import os
 import shutil
 import signal
+import socket
 import sys
 import time
 from collections.abc import Iterable
@@ -33,6 +34,10 @@
 }
 
 
+class AddressInUseError(Exception):
+    """An address of the fleet is in use, as by another soak."""
+
+
 class Process:
     """One process of the fleet, in one incarnation after the other."""
 
@@ -149,8 +154,20 @@
         """All of them."""
         return [*self.controllers, *self.gateways]
 
+    def check_free(self) -> None:
+        """Raise AddressInUseError where an address of the fleet is in use: two soaks would mix."""
+        for process in self.processes:
+            for port, number in PORTS.items():
+                with socket.socket() as probe:
+                    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                    try:
+                        probe.bind(process.address(port))
+                    except OSError as error:
+                        raise AddressInUseError(f"{process.ip}:{number}: {error.strerror}") from error
+
     async def start(self) -> None:
-        """Start all."""
+        """Start all. Raises AddressInUseError."""
+        self.check_free()
         await asyncio.gather(*(process.start() for process in self.processes))
 
     async def stop(self) -> None:
