Keyed operations: metrics, a call and log lines for operators

Cause: what is claimed, kept and refused could be seen nowhere.

Change: metrics of gateways (claims by outcome, latency, unsettled) and of controllers (records by state, bytes and bound, rounds, whether it votes); GET /-/operations and /-/operations/DIGEST; log line operation_claims. The golden files gain these and keep all else; the new calls are made last there, as answers tell ages.

--- a/crowseam/control_calls.py
+++ b/crowseam/control_calls.py
@@ -39,6 +39,8 @@
     ControlCall("POST", "/-/retire", "retire"),
     ControlCall("GET", "/-/retiring", "retiring"),
     ControlCall("GET", "/-/retiring/", "retiring"),
+    ControlCall("GET", "/-/operations", "operations"),
+    ControlCall("GET", "/-/operations/", "operations"),
 )
 _EXACT = {(call.method, call.path): call for call in TABLE if not call.path.endswith("/")}
 _EXACT_PATHS = {path for _, path in _EXACT}
--- a/crowseam/controller/api.py
+++ b/crowseam/controller/api.py
@@ -17,6 +17,7 @@
 from crowseam.controller.drain_status_calls import DrainStatusCalls
 from crowseam.controller.durable_state import ControllerStore
 from crowseam.controller.gateway_sessions import GatewaySessions
+from crowseam.controller.operation_service import OperationService
 from crowseam.controller.peers import Peers
 from crowseam.controller.pending_calls import error_body
 from crowseam.controller.retirements import Retirements
@@ -26,6 +27,7 @@
 from crowseam.discovery.service_registry import ServiceRegistry
 from crowseam.membership.role_leases import RoleLeases
 from crowseam.membership.sessions import SessionTable
+from crowseam.operations.records import OperationRecord
 from crowseam.quotas.shards import KEYS
 from crowseam.transport.http import Call
 from crowseam.transport.links import Link
@@ -33,6 +35,13 @@
 _PROPOSAL_ID_BITS = 48
 
 
+def _digest(text: str) -> bytes:
+    try:
+        return bytes.fromhex(text)
+    except ValueError as error:
+        raise DiscoveryError("operation", f"{text!r} is no digest in hexadecimal") from error
+
+
 class ControlApi:
     """Hands each call to the part that serves it, and shows operators what the parts know."""
 
@@ -50,6 +59,7 @@
         gateways: GatewaySessions,
         role_leases: RoleLeases,
         store: ControllerStore,
+        operations: OperationService,
     ) -> None:
         self.loop = loop
         self.rng = rng
@@ -63,6 +73,7 @@
         self.gateways = gateways
         self.role_leases = role_leases
         self.store = store
+        self.operations = operations
         self.node = agreement.node
         self.machine = agreement.machine
         self.is_closing = False  # the process is about to end, so that no more calls should come
@@ -149,6 +160,33 @@
         """Return who holds which role."""
         self._show(call, {key: self.role_leases.holder(key, now) for key in KEYS}, now)
 
+    def call_operations(self, call: Call, key: str, now: float) -> None:
+        """Return what this controller keeps of keyed operations, or of one, named by its digest in hexadecimal."""
+        replica = self.operations.replica
+        if key:
+            self._show(call, [self._operation(record, now) for record in replica.records_of(_digest(key))], now)
+            return
+        summary = replica.count_states() | {
+            "expired": replica.expired,
+            "bytes": replica.used_bytes,
+            "max_bytes": replica.max_bytes,
+            "votes": self.operations.catch_up.counts,
+            "rounds": len(self.operations.coordinator),
+        }
+        self._show(call, summary, now)
+
+    @staticmethod
+    def _operation(record: OperationRecord, now: float) -> dict[str, object]:
+        name = record.name
+        return {
+            "state": record.state.value,
+            "gateway": name.gateway,
+            "claim": f"{name.incarnation}/{name.number}",
+            "status": record.answer.status if record.answer is not None else None,
+            "bytes": record.size,
+            "kept_for_s": round(record.expires_at - now, 1),
+        }
+
     def call_status(self, call: Call, _: str, now: float) -> None:
         """Return the state of this controller."""
         self._show(
--- a/crowseam/controller/parts.py
+++ b/crowseam/controller/parts.py
@@ -151,6 +151,7 @@
         gateways,
         role_leases,
         store,
+        operations,
     )
     return ControllerParts(
         store=store,
--- a/crowseam/gateway/daemon.py
+++ b/crowseam/gateway/daemon.py
@@ -129,6 +129,7 @@
                 self.asked_at = now + SPAN
                 if counts := self.gateway.counters.take():
                     logs.say("asked", span=SPAN, counts=counts)
+                self._report_claims()
             if now >= self.sweep_at:
                 self.sweep_at = now + SWEEP
                 self.server.sweep()
@@ -137,6 +138,14 @@
             logs.failure("tick_failed")
         self.loop.call_later(SLICES, self._tick)
 
+    def _report_claims(self) -> None:
+        keyed = self.gateway.keyed_requests
+        if keyed.counts:
+            outcomes = ",".join(f"{outcome}:{count}" for outcome, count in sorted(keyed.counts.items()))
+            p50_ms, p99_ms = (1000.0 * keyed.latency_quantile_s(quantile) for quantile in (0.5, 0.99))
+            unsettled = keyed.claims.unsettled
+            logs.say("operation_claims", outcomes=outcomes, p50_ms=p50_ms, p99_ms=p99_ms, unsettled=unsettled)
+
     def reload(self) -> None:
         """The settings may name other seeds."""
         try:
--- a/crowseam/gateway/keyed_requests.py
+++ b/crowseam/gateway/keyed_requests.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from random import Random
 from typing import NamedTuple
@@ -24,6 +25,7 @@
 SETTLE_WAIT_S = 0.15  # for which an answer waits until a majority has the end on disk
 MAX_CONTENTION_PAUSE_S = 0.02  # before an operation is claimed anew that several tries claimed at once
 CLAIM_PART_OF_TARGET = 0.25  # of a route's target time, for a decision
+MAX_LATENCIES = 1000  # of claims, from which quantiles are told
 MIN_TIME_LEFT_S = 0.02  # that must be left after a claim for the request to be worth sending
 
 ClaimCallback = Callable[[ClaimOutcome, ClaimDecision | None, GrantedClaim | None], None]
@@ -39,10 +41,11 @@
 class _Claiming:
     """An operation that is being claimed, under one name after the other where tries meet."""
 
-    __slots__ = ("deadline", "done", "ends_at", "number", "operation", "timer")
+    __slots__ = ("began_at", "deadline", "done", "ends_at", "number", "operation", "timer")
 
     def __init__(self, operation: Operation, deadline: float, ends_at: float, done: ClaimCallback) -> None:
         self.operation = operation
+        self.began_at = clock.monotonic()
         self.deadline = deadline  # of the decision (steady clock, s)
         self.ends_at = ends_at  # when the client's time is over
         self.done = done
@@ -72,6 +75,7 @@
         self.claims = claims
         self.send = send
         self.counts: dict[str, int] = {}  # decisions, by outcome
+        self.latencies_s: deque[float] = deque(maxlen=MAX_LATENCIES)  # of the newest decisions
         self._claiming: dict[int, _Claiming] = {}  # by number of the claim
         self._settling: dict[int, _Settling] = {}
 
@@ -119,6 +123,7 @@
             return
         if claiming.timer is not None:
             claiming.timer.cancel()
+        self.latencies_s.append(now - claiming.began_at)
         is_granted = decision.outcome is ClaimOutcome.GRANTED
         self._finish(claiming.done, decision.outcome, decision, granted if is_granted else None)
 
@@ -136,6 +141,11 @@
         self.counts[outcome.value] = self.counts.get(outcome.value, 0) + 1
         done(outcome, decision, granted)
 
+    def latency_quantile_s(self, quantile: float) -> float:
+        """Return a quantile of the latencies of the newest decisions; 0 if there is none."""
+        latencies = sorted(self.latencies_s)
+        return latencies[min(len(latencies) - 1, int(quantile * len(latencies)))] if latencies else 0.0
+
     def withdraw(self, granted: GrantedClaim) -> None:
         """Free the key of a claim whose request will not be sent; nobody waits for that."""
         self.send(self.claims.withdraw(granted.claim, clock.monotonic()))
--- a/crowseam/metrics/families.py
+++ b/crowseam/metrics/families.py
@@ -102,6 +102,28 @@
         _server_connections(gateway.backends),
         *_shares(gateway),
         _retries(gateway),
+        *_operations_of_gateway(gateway.keyed_requests),
+    ]
+
+
+def _operations_of_gateway(keyed) -> list[Family]:
+    """Claims of keyed operations, and what of them no majority has yet."""
+    quantiles = {name: keyed.latency_quantile_s(float(name)) for name in ("0.5", "0.99")}
+    return [
+        _by("counter", "crowseam_operation_claims", "Claims of keyed operations by outcome.", "outcome", keyed.counts),
+        _by(
+            "gauge",
+            "crowseam_operation_claim_seconds",
+            "Latency of the decision on a claim, of the newest 1,000.",
+            "quantile",
+            quantiles,
+        ),
+        _one(
+            "gauge",
+            "crowseam_operations_unsettled",
+            "Ends and withdrawals that no majority has on disk.",
+            keyed.claims.unsettled,
+        ),
     ]
 
 
@@ -147,4 +169,19 @@
         _one("gauge", "crowseam_duties_held", "Duties that this one has.", held),
         _one("gauge", "crowseam_waiting_calls", "Calls that wait for a majority.", len(api.agreement.pending_calls)),
         _one("gauge", "crowseam_disk_late_seconds", "How long the oldest write is overdue.", api.store.overdue_s()),
+        *_operations_of_controller(api.operations),
+    ]
+
+
+def _operations_of_controller(operations) -> list[Family]:
+    """What this controller keeps of keyed operations as a voter, and asks the voters for gateways."""
+    replica = operations.replica
+    votes = operations.catch_up.counts
+    return [
+        _by("gauge", "crowseam_operation_records", "Keyed operations kept, by state.", "state", replica.count_states()),
+        _one("gauge", "crowseam_operation_bytes", "Bytes of them, with space set aside.", replica.used_bytes),
+        _one("gauge", "crowseam_operation_bytes_max", "Bytes beyond which no claim is accepted.", replica.max_bytes),
+        _one("gauge", "crowseam_operation_rounds", "Requests to the voters under way.", len(operations.coordinator)),
+        _one("gauge", "crowseam_operation_voter", "Whether this one votes on claims.", votes),
+        _one("counter", "crowseam_operations_expired", "Keyed operations past their window.", replica.expired),
     ]
--- a/crowseam/model_checks/operations/machines.py
+++ b/crowseam/model_checks/operations/machines.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from crowseam.configuration.model import Configuration
 from crowseam.configuration.routing import Table
@@ -24,8 +24,7 @@
 from crowseam.settings import Bind, Bounds, Limits, Settings
 from crowseam.storage.records import Note, OperationRow
 
-if TYPE_CHECKING:
-    from crowseam.model_checks.operations.world import World
+World = Any  # `world.World`, which imports this module
 
 KEY_WINDOW_S = 5.0
 SYNC_S = 0.002
--- a/crowseam/operations/replica.py
+++ b/crowseam/operations/replica.py
@@ -54,6 +54,7 @@
         self.retention = retention
         self.max_bytes = max_bytes
         self.used_bytes = 0
+        self.expired = 0  # how many records have outlived their window
         self._by_key: dict[bytes, dict[ClaimName, OperationRecord]] = {}
         self._expiring: dict[int, list[tuple[bytes, ClaimName]]] = {}  # by second
         self._expired_until = int(now)
@@ -62,6 +63,18 @@
     def __len__(self) -> int:
         return sum(map(len, self._by_key.values()))
 
+    def count_states(self) -> dict[str, int]:
+        """Return how many records there are in each state."""
+        counts = {state.value: 0 for state in State}
+        for records in self._by_key.values():
+            for record in records.values():
+                counts[record.state.value] += 1
+        return counts
+
+    def records_of(self, key: bytes) -> list[OperationRecord]:
+        """Return the records of one key."""
+        return list(self._by_key.get(key, {}).values())
+
     def restore(self, rows: Iterable[bytes], now: float) -> None:
         """Take what the disk has. Ages begin anew, which frees no key early. Raises msgspec.MsgspecError."""
         for row in rows:
@@ -173,6 +186,7 @@
                 record = self._find(key, name)
                 if record is not None and record.expires_at <= now:
                     self._remove(record)
+                    self.expired += 1
                     rows.append(Row(row_key(record.claim), None))
         self._expired_until = max(self._expired_until, int(now))
         self._withdrawn = {name: until for name, until in self._withdrawn.items() if until > now}
--- a/tests/crowseam/golden_samples.py
+++ b/tests/crowseam/golden_samples.py
@@ -155,8 +155,11 @@
         steps += [("PUT", f"/-/backends/sv{n}", test_controller.heartbeat(f"sv{n}", "up", 1)) for n in (1, 2)]
         steps += [("PUT", "/-/backends/sv3", b"{}"), ("DELETE", "/-/backends/sv2", b"")]
         steps += [("POST", "/-/retire", b'{"id":"sv1","force":true}'), ("POST", "/-/retire", b"{}")]
-        steps += [("GET", call.path, b"") for call in TABLE if call.method == "GET" and not call.path.endswith("/")]
+        gets = [call.path for call in TABLE if call.method == "GET" and not call.path.endswith("/")]
+        steps += [("GET", path, b"") for path in gets if path != "/-/operations"]
         steps += [("GET", "/-/retiring/sv1", b""), ("POST", "/-/config", b""), ("GET", "/-/nothing", b"")]
+        # Last, as answers tell ages, which what comes between would change.
+        steps += [("GET", f"/-/operations{rest}", b"") for rest in ("", "/00", "/none")]
         for method, path, body in steps:
             if path == "/-/metrics":
                 continue
