--- a/crowseam/cli/control_client.py
+++ b/crowseam/cli/control_client.py
@@ -28,6 +28,7 @@
     "metrics": ("GET", "/-/metrics"),
     "retire": ("POST", "/-/retire"),
     "retiring": ("GET", "/-/retiring"),
+    "operations": ("GET", "/-/operations"),
 }
 
 FINAL = frozenset((400, 409, 412, 413, 422))
@@ -131,9 +132,11 @@
         caution = "" if method == "GET" else "; it may have been done or not"
         return Error(UnclearError(f"no clear answer within {self._within:g} s{caution} (last {last})"))
 
-    def each(self, name: str) -> list[tuple[str, Result[Answer, CommandError]]]:
+    def each(self, name: str, ident: str = "") -> list[tuple[str, Result[Answer, CommandError]]]:
         """Ask every address once, and return what each of them said."""
         method, path = CALLS[name]
+        if ident:
+            path += "/" + quote(ident, safe="")
         answers = []
         for address in self._addresses:
             try:
--- a/crowseam/cli/dispatch.py
+++ b/crowseam/cli/dispatch.py
@@ -4,7 +4,7 @@
 
 from docopt import DocoptExit, docopt
 
-from crowseam.cli import config_commands, file_commands, retirement_commands, status_commands
+from crowseam.cli import config_commands, file_commands, operation_commands, retirement_commands, status_commands
 from crowseam.cli.errors import BAD_INPUT, FAILED, CommandError
 from crowseam.cli.usage import USAGE
 
@@ -78,6 +78,7 @@
     "members": status_commands.members,
     "duties": status_commands.duties,
     "status": status_commands.status,
+    "operations": operation_commands.operations,
     "metrics": _metrics,
     "retire": retirement_commands.retire,
     "retiring": retirement_commands.retiring,
--- a/crowseam/cli/usage.py
+++ b/crowseam/cli/usage.py
@@ -13,6 +13,7 @@
   crowseam config diff OLD NEW [--as-patch=VER | --json]
   crowseam config history [--at=LIST] [--within=S] [--json]
   crowseam (servers | members | duties) [--at=LIST] [--within=S] [--json]
+  crowseam operations [--key=KEY [--tenant=NAME]] [--at=LIST] [--within=S] [--json]
   crowseam status [--at=LIST] [--within=S] [--json]
   crowseam metrics [--at=LIST] [--json]
   crowseam retire (--server=ID | --version=VER | --zone=AZ) [--svc=SVC] [--undo | --force]
@@ -51,6 +52,7 @@
 The running system:
   config          Print, send and compare configurations.
   servers         Print the servers that are known; members the machines, duties who does which duty.
+  operations      Print what each controller keeps of keyed operations, or of the one with a key.
   status          Print what is wrong now.
   metrics         Print the sums of what the daemons have counted.
   retire          Take servers out of use, or put them back; retiring shows how far that is.
@@ -75,6 +77,10 @@
   --out=FILE          File to write in place of standard output; of a scale run, directory of its records; of a
                       soak, of the logs and history of each that broke a promise.
 
+Operation options:
+  --key=KEY           The `X-Op-Key` of one operation.
+  --tenant=NAME       Whose it is; left out, it is on a public route.
+
 Configuration options:
   --no-check          Send the file without checking it here first.
   --as-patch=VER      Print the PATCH body that leads to NEW, under this version (eight hex digits).
--- a/tests/crowseam/test_cli.py
+++ b/tests/crowseam/test_cli.py
@@ -213,6 +213,19 @@
             self.assertEqual(run(["servers"]), 0)
         self.assertEqual(out.getvalue(), "none\n")
 
+    def test_operations_are_shown_for_each_controller_and_one_is_looked_up_by_its_key(self):
+        summary = {"claimed": 2, "ended": 7, "bytes": 900, "votes": True}
+        code, out, _ = self.crowseam("operations", "--at", "a:1,b:1", answer=(200, summary))
+        self.assertEqual((code, out.count("\n")), (0, 3), out)
+        found = [{"state": "ended", "gateway": "edge-1", "status": 200}]
+        one = ("operations", "--at", "a:1", "--key", "k-1")
+        code, out, _ = self.crowseam(*one, "--tenant", "town", answer=(200, found))
+        self.assertIn("edge-1", out)
+        code, out, _ = self.crowseam(*one, answer=(200, []))
+        self.assertEqual((code, "no controller" in out), (0, True))
+        code, _, said = self.crowseam("operations", "--at", "a:1")
+        self.assertEqual((code, "a:1" in said), (1, True))
+
     def test_status_tells_what_is_wrong_on_one_screen(self):
         def two_of_three(address):
             if address == "c:1":
--- a/tests/crowseam/test_layers.py
+++ b/tests/crowseam/test_layers.py
@@ -44,6 +44,7 @@
         "consensus",
         "metrics",
         "model_checks",
+        "operations",
         "simulator",
         "soak",
         "storage",
