A request is not sent after its time by a connection that came up over a stand-still

Cause: a gateway that stood still past the window of a key sent it when its connection turned out to be up: a process that goes on hears of its connections before its timers, and only the moment of choosing the server looked at the time to send.

Change: an exchange has the time until which it may be sent, looked at as its connection comes up. A voter gives a kept answer also while it may not vote: it stays true. The check replaces voters that live, freezes gateways past the window, and looks for kept answers after losses of power.

--- a/crowseam/gateway/gateway.py
+++ b/crowseam/gateway/gateway.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from math import inf
 from random import Random
 
 from crowseam import clock, logs
@@ -338,6 +339,7 @@
             echo=asked.txn,
             idle=None if asked.route.safe else UNSAFE_IDLE,
             silent=lambda: self._silent(ticket, number),
+            send_until=inf if ticket.claim is None else ticket.claim.send_until,
         )
         ticket.out[number] = exchange
         self.backends.begin(exchange, server.id)
--- a/crowseam/model_checks/operations/check.py
+++ b/crowseam/model_checks/operations/check.py
@@ -53,6 +53,7 @@
         self.world.doubled = chance.choice((0.0, 0.02))
         self.world.late = chance.choice((0.0, 0.0, 0.02))
         self.pause_s = chance.choice((0.02, 0.05))
+        self.has_long_freeze = chance.random() < 0.1
         self.flowing = True
         self.count = 0
         self.unready: dict[str, float] = {}  # machines that lost a disk or are away, by until when they count as lost
@@ -64,6 +65,8 @@
             self._restart_all()
             self._flow()
             world.run_until(0.3)
+            if self.has_long_freeze:
+                self._freeze_past_the_window()
             for _ in range(self.steps):
                 world.rng.choice(self._acts())()
                 world.run_until(world.now + world.rng.uniform(0.02, 0.8))
@@ -145,8 +148,24 @@
 
     def _freeze_gateway(self) -> None:
         world = self.world
-        span = world.rng.choice((0.2, 1.0, 3.0, WINDOW_S + 3.0))
-        world.freeze(world.rng.choice(world.gateways).name, span)
+        world.freeze(world.rng.choice(world.gateways).name, world.rng.choice((0.2, 1.0, 3.0)))
+
+    def _freeze_past_the_window(self) -> None:
+        """A gateway stands still, with claims under way, until they are forgotten and their keys run elsewhere."""
+        world = self.world
+        machine = world.gateways[0]
+        keys = [b"frozen%d" % number for number in range(20)]
+        for key in keys:
+            world.submit(key, 0, machine=machine)
+            world.run_until(world.now + 0.0005)
+        world.freeze(machine.name, WINDOW_S)
+        self.flowing = False  # what clients send to it meanwhile would come all at once
+        world.run_until(world.now + WINDOW_S - 1.5)
+        for key in keys:
+            world.submit(key, 0)
+        world.run_until(world.now + 3.0)
+        self.flowing = True
+        self._flow()
 
     def _cut(self) -> None:
         one = self.world.rng.choice([*self.world.controllers, *(each.name for each in self.world.gateways)])
@@ -183,24 +202,27 @@
     def _wipe(self, count: int | None = None) -> None:
         """Disks are lost, as many at once as may be; their machines return under new ids, and replace the old ones."""
         world = self.world
-        lost = [addr for addr, controller in world.controllers.items() if not self._is_whole(controller)]
+        lost = self._lost()
         room = world.survive - len(lost)
         if room <= 0:
             return
-        able = sorted(set(world.controllers) - set(lost))
+        able = sorted(set(world.voters) - set(lost))
         for addr in world.rng.sample(able, world.rng.randint(1, room) if count is None else min(count, room)):
             controller = world.controllers[addr]
             controller.end(power=True)
             controller.disk.wipe()
             world.after(world.rng.uniform(0.05, 0.5), self._return_empty, controller)
 
+    def _lost(self) -> list[str]:
+        """The voters that count as lost."""
+        return [addr for addr in self.world.voters if not self._is_whole(self.world.controllers[addr])]
+
     def _is_whole(self, controller: Controller) -> bool:
         """Whether a machine has its disk, votes, and has on disk that it has learned what it must.
 
         Until then it counts as lost: the pages give it longer than this takes.
         """
-        newest = self.world.voters_at[max(self.world.voters_at)]
-        is_voter = newest.get(controller.addr) == controller.disk.voter_id
+        is_voter = self.world.voters.get(controller.addr) == controller.disk.voter_id
         noted = controller.disk.notes.get(COUNTED_FOR_OPERATIONS_KEY, b"").decode()
         has_learned = noted == controller.disk.voter_id and controller.process is not None
         return is_voter and has_learned and controller.service.catch_up.counts
@@ -216,9 +238,8 @@
         if controller.process is None:
             world.after(0.2, self._let_in, controller)
             return
-        slot = max(world.voters_at)
-        voters = dict(world.voters_at[slot])
-        if voters.get(controller.addr) == controller.disk.voter_id:
+        voters = dict(world.voters)
+        if controller.addr not in voters or voters[controller.addr] == controller.disk.voter_id:
             return
         voters[controller.addr] = controller.disk.voter_id
         self._change_voters(voters)
@@ -228,15 +249,24 @@
         slot = max(world.voters_at) + 1
         world.voters_at[slot] = voters
         for controller in world.controllers.values():
-            world.after(world.rng.choice((0.002, 0.01, 0.1, 0.6)), self._know, controller, slot)
+            world.after(world.rng.choice((0.002, 0.01, 0.1, 0.6, 2.0)), self._know, controller, slot)
 
     def _know(self, controller: Controller, slot: int) -> None:
         if self.world.slot_known.get(controller.addr, 0) < slot:
             controller.know(slot)
 
     def _replace_voter(self) -> None:
-        """A machine leaves for good, and an empty one takes its place."""
-        self._wipe(1)
+        """An empty machine takes the place of a voter that lives, and that may not hear of it for long."""
+        world = self.world
+        spares = [addr for addr, each in world.controllers.items() if addr not in world.voters and each.process]
+        spares = [addr for addr in spares if not world.controllers[addr].disk.notes]
+        if not spares or len(self._lost()) >= world.survive:
+            return
+        newcomer = world.controllers[world.rng.choice(spares)]
+        voters = dict(world.voters)
+        voters.pop(world.rng.choice(sorted(voters)))
+        voters[newcomer.addr] = newcomer.disk.voter_id
+        self._change_voters(voters)
 
     def _lose_all_power(self) -> None:
         """All lose power at the same moment, at times with disks; gateways too."""
@@ -249,6 +279,10 @@
         for controller in world.controllers.values():
             controller.end(power=True)
             world.after(world.rng.uniform(0.05, 0.4), self._start, controller)
+        if world.rng.random() < 0.3 and not self.is_short_of_space:
+            self._heal()
+            world.run_until(world.now + 1.5)
+            self._check_kept()
 
     def _kill_all(self) -> None:
         for controller in self.world.controllers.values():
@@ -274,9 +308,8 @@
     def _check_calm(self) -> None:
         """What is new comes through; a key of which no try was ever sent to a server is free; answers stay."""
         world = self.world
-        ready = sum(self._is_whole(controller) for controller in world.controllers.values())
-        if ready < len(world.controllers):
-            raise Violation(f"{ready} of {len(world.controllers)} voters vote on claims")
+        if lost := self._lost():
+            raise Violation(f"{len(lost)} of {len(world.voters)} voters do not vote on claims")
         world.run_until(world.now + 0.5)
         self._check_kept()
         if self.is_short_of_space:
--- a/crowseam/model_checks/operations/machines.py
+++ b/crowseam/model_checks/operations/machines.py
@@ -363,7 +363,8 @@
             return
         self.controller = ""
         self.session += 1
-        self.process.call_later(SESSION_SILENCE_S * self.world.rng.random(), self._connect)
+        pause_s = self.world.rng.choice((0.1, SESSION_SILENCE_S)) * self.world.rng.random()
+        self.process.call_later(pause_s, self._connect)
 
     def _send(self, message: object) -> None:
         if self.controller:
--- a/crowseam/model_checks/operations/world.py
+++ b/crowseam/model_checks/operations/world.py
@@ -16,6 +16,8 @@
 from fennelpoint.net.backends import Answer
 
 TIME_LEFT_S = 2.0
+GIVE_UP_S = 2.3  # after which a client leaves that has no answer
+SPARES = 2
 PROMISES = (429, 503, 408, 421)  # it has not run and never will
 
 
@@ -56,8 +58,9 @@
 
     def answered(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
         """An answer has come, as a server or the gateway gave it."""
-        self.is_open = False
-        self.world.client_answered(self, status, dict(headers), body)
+        if self.is_open:  # else it has left, and the gateway does not know yet
+            self.is_open = False
+            self.world.client_answered(self, status, dict(headers), body)
 
     def begin(self, answer: Answer, length: int | None, source: object) -> None:
         """A large answer begins."""
@@ -94,8 +97,9 @@
         self.clients: dict[GatewayMachine, list[Client]] = {}
         self._last_number = 0
         addrs = [f"c{number}" for number in range(voters)]
-        self.controllers = {addr: types.controller(self, addr, True) for addr in addrs}
         self.voters_at[1] = {addr: f"{addr}#1" for addr in addrs}
+        spares = [f"spare{number}" for number in range(SPARES)]  # they vote once they take another one's place
+        self.controllers = {addr: types.controller(self, addr, addr in addrs) for addr in (*addrs, *spares)}
         for controller in self.controllers.values():
             self.slot_known[controller.addr] = 1
             controller.start()
@@ -191,7 +195,7 @@
     def _connected(self, machine: GatewayMachine, exchange: Any, ident: str) -> None:
         if exchange.ended:
             return
-        if self.rng.random() < 0.03:
+        if self.rng.random() < 0.03 or self.now >= exchange.send_until:
             exchange.end(Status.CONNECT_FAILED)
             return
         exchange.connection = SimpleNamespace(written=True, give_up=lambda: None)
@@ -234,12 +238,17 @@
 
     # Clients
 
-    def submit(self, key: bytes, tries: int = 3, is_other: bool = False) -> None:
+    @property
+    def voters(self) -> dict[str, str]:
+        """The newest voters that were agreed on, ids by address."""
+        return self.voters_at[max(self.voters_at)]
+
+    def submit(self, key: bytes, tries: int = 3, is_other: bool = False, machine: GatewayMachine | None = None) -> None:
         """A client sends an operation to some gateway; `is_other`: another request, with a key that was used."""
         up = [each for each in self.gateways if each.process is not None]
         if not up:
             return
-        machine = self.rng.choice(up)
+        machine = machine or self.rng.choice(up)
         client = Client(self, key, machine, tries, is_other)
         self.keys.setdefault(key, Operations())
         self.client_by_txn[client.txn] = client
@@ -251,13 +260,13 @@
         operation = Operation(digest_of("", client.key), b"other" if client.is_other else client.key)
         asked = Asked(client.txn, route, "", TIME_LEFT_S, b"POST / HTTP/1.1\r\n", b"", None, operation)
         client.number = machine.gateway.admit(client, asked)
-        if self.rng.random() < 0.06:
-            machine.process.call_later(self.rng.uniform(0.0, 0.3), self._leave, client, machine)
+        patience_s = self.rng.uniform(0.0, 0.3) if self.rng.random() < 0.06 else GIVE_UP_S
+        self.after(patience_s, self._leave, client, machine, machine.process)
 
-    def _leave(self, client: Client, machine: GatewayMachine) -> None:
+    def _leave(self, client: Client, machine: GatewayMachine, process: Any) -> None:
         if client.is_open:
             client.is_open = False
-            machine.gateway.gone(client.number)
+            process.call_soon(machine.gateway.gone, client.number)
             self.come_again(client)
 
     def come_again(self, client: Client) -> None:
--- a/crowseam/operations/replica.py
+++ b/crowseam/operations/replica.py
@@ -97,12 +97,12 @@
 
     def _vote(self, request: RecordClaim, now: float) -> ClaimVote:
         number, claim = request.round_number, request.claim
-        if not self.is_ready:
-            return ClaimVote(number, self.voter_id, Verdict.NOT_READY)
-        if request.log_slot < self.voters_slot:
-            return ClaimVote(number, self.voter_id, Verdict.OUTDATED)
         records = list(self._by_key.get(claim.key, {}).values())
         obstacle = self._obstacle(claim, records, now)
+        is_answered = obstacle is not None and obstacle[0] is Verdict.ANSWERED
+        # What a run has answered stays true, whoever votes.
+        if not is_answered and (refusal := self._refusal_of_all(request)) is not None:
+            return ClaimVote(number, self.voter_id, refusal)
         if obstacle is None:
             return ClaimVote(number, self.voter_id, self._verdict_on_free_key(claim, bool(records)))
         verdict, record = obstacle
@@ -110,6 +110,12 @@
         remaining_s = max(0.0, record.run_ends_at - now)
         return ClaimVote(number, self.voter_id, verdict, record.name, remaining_s, answer)
 
+    def _refusal_of_all(self, request: RecordClaim) -> Verdict | None:
+        """Return why this voter can't vote on any claim of this sender; None if it can."""
+        if not self.is_ready:
+            return Verdict.NOT_READY
+        return Verdict.OUTDATED if request.log_slot < self.voters_slot else None
+
     def _obstacle(
         self, claim: OperationClaim, records: list[OperationRecord], now: float
     ) -> tuple[Verdict, OperationRecord] | None:
--- a/fennelpoint/net/backends.py
+++ b/fennelpoint/net/backends.py
@@ -103,6 +103,7 @@
         "echo",
         "idle",
         "silent",
+        "send_until",
     )
 
     def __init__(
@@ -115,6 +116,7 @@
         echo: bytes | None = None,
         idle: tuple[float, float] | None = None,
         silent: Callable[[], None] | None = None,
+        send_until: float = math.inf,
     ) -> None:
         """`render` gives the request's bytes once they can be written; `done` is told the outcome."""
         self.echo = echo  # the id that its answer names, in dialects that have one
@@ -125,6 +127,7 @@
         self.silent = (
             silent  # told that an answer falls silent midway, which ends the exchange where there is none
         )
+        self.send_until = send_until  # when it may not be sent any more (steady clock, s)
         self.upload = upload  # what follows these bytes as it comes
         self.receiver = receiver  # who takes an answer too large to hold
         self.connection: UpstreamConnection | None = None
@@ -237,7 +240,9 @@
         self.pool.all.add(self)
         # Guards the rule on drains: the backend may have begun to drain while the connection came up.
         first, self.first = self.first, None
-        if first.ended or not self.upstream.open:
+        # Guards the time to send: a process that stood still hears of its connection before its timers.
+        is_late = time.monotonic() >= first.send_until
+        if first.ended or is_late or not self.upstream.open:
             self.close()
             first.end(Status.CONNECT_FAILED)
         else:
