Gateway: requests in flight have a file and a name of their own

Change: crowseam/gateway/in_flight.py with InFlightRequest, StreamedAnswer and DepartedClient; no logic changed.

--- a/crowseam/gateway/gateway.py
+++ b/crowseam/gateway/gateway.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
 from math import inf
 from random import Random
 
@@ -13,6 +12,7 @@
 from crowseam.discovery.server_record import ServerRecord
 from crowseam.gateway.counters import RequestCounters
 from crowseam.gateway.http_dialect import ServerDialect, load_of
+from crowseam.gateway.in_flight import DepartedClient, InFlightRequest, StreamedAnswer
 from crowseam.gateway.keyed_requests import KeyedRequests
 from crowseam.gateway.load_balancer import RETURN_LEAST, Draw, Give, LoadBalancer, Send, Wake
 from crowseam.gateway.request_reader import Asked
@@ -24,7 +24,7 @@
 from crowseam.quotas.unleased_allowance import unleased_allowance
 from crowseam.settings import Settings, seconds
 from fennelpoint.interface import BackendEntry, BackendState, Roster, RosterKind, Status
-from fennelpoint.net.backends import HOP_BY_HOP, Answer, Backends, Exchange, UpstreamConnection
+from fennelpoint.net.backends import HOP_BY_HOP, Answer, Backends, Exchange
 from fennelpoint.net.flow import Budget
 
 CONNECT_TIMEOUT = 0.3  # s for a server to take a connection
@@ -52,65 +52,6 @@
 OVERTIME = 0.2  # s past a request's time that a large answer which is on its way may take to end
 
 
-@dataclass(slots=True, eq=False)
-class Ticket:
-    """A client's request until its answer is out and nothing of it is under way."""
-
-    id: int
-    asked: Asked
-    client: object | None
-    deadline: float
-    timer: asyncio.TimerHandle | None = None
-    out: dict[int, Exchange] = field(default_factory=dict)
-    passing: Passing | None = None
-    drawing: bool = False  # the reserve has been asked for it
-    svc: str = ""  # the service of its servers, once one was chosen
-    claim_outcome: ClaimOutcome | None = None  # where its operation was not granted
-    claim: GrantedClaim | None = None  # of its operation, on routes of keyed ones
-    answering: Give | None = None  # its answer, which waits until the end of its operation is kept
-
-
-@dataclass(slots=True, eq=False)
-class Passing:
-    """Takes a large answer as it comes; from its first bytes on this attempt is the one that counts."""
-
-    gateway: Gateway
-    ticket: Ticket
-    number: int
-
-    def begin(self, answer: Answer, length: int | None, source: UpstreamConnection) -> None:
-        """The answer's head has come, and as much of its body as is held."""
-        ticket = self.ticket
-        if ticket.client is None or ticket.passing is not None:
-            return  # another attempt was quicker; what comes is dropped
-        ticket.passing = self
-        ticket.client.begin(answer, length, source)
-
-    def piece(self, data: bytes) -> None:
-        """More of its body has come."""
-        if self.ticket.client is not None and self.ticket.passing is self:
-            self.ticket.client.piece(data)
-
-
-class DepartedClient:
-    """In place of a client that has left, where its request goes on all the same."""
-
-    def answered(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
-        """Nobody takes the answer."""
-
-    def begin(self, answer: Answer, length: int | None, source: UpstreamConnection) -> None:
-        """Nobody takes the answer."""
-
-    def piece(self, data: bytes) -> None:
-        """Nobody takes the answer."""
-
-    def finish(self) -> None:
-        """Nobody takes the answer."""
-
-    def broken(self) -> None:
-        """Nobody takes the answer."""
-
-
 class Gateway:
     """What `fennelpoint.net.server` calls its host: takes requests, gives answers."""
 
@@ -134,7 +75,7 @@
         )
         self.table: Table | None = None
         self.counters = RequestCounters()
-        self.tickets: dict[int, Ticket] = {}
+        self.tickets: dict[int, InFlightRequest] = {}
         self.begun = now
         self.open_ids: set[bytes] = set()
         self.last_id = 0
@@ -238,7 +179,7 @@
         """Take a request; its id, for `gone`."""
         self.last_id += 1
         now = clock.monotonic()
-        ticket = Ticket(self.last_id, asked, client, now + asked.time_left)
+        ticket = InFlightRequest(self.last_id, asked, client, now + asked.time_left)
         self.tickets[ticket.id] = ticket
         self.open_ids.add(asked.txn)
         self.counters.add(asked.route.name, asked.tenant)
@@ -325,7 +266,7 @@
         if asked.upload is not None and asked.upload.held is None:
             # A part of its body is gone with the attempt before.
             return self._outcome(ticket, number, Status.MOOT, None)
-        passing = Passing(self, ticket, number)
+        passing = StreamedAnswer(ticket, number)
 
         def done(status: Status, answer: Answer | None) -> None:
             ticket.out.pop(number, None)
@@ -344,7 +285,7 @@
         ticket.out[number] = exchange
         self.backends.begin(exchange, server.id)
 
-    def _may_send(self, ticket: Ticket, send: Send) -> bool:
+    def _may_send(self, ticket: InFlightRequest, send: Send) -> bool:
         """Whether a try of a keyed operation has the right to be sent now; it is claimed if it has none yet."""
         now = clock.monotonic()
         if ticket.claim is None:
@@ -355,7 +296,7 @@
             return False
         return True
 
-    def _claim(self, ticket: Ticket, send: Send) -> None:
+    def _claim(self, ticket: InFlightRequest, send: Send) -> None:
         def done(outcome: ClaimOutcome, decision: ClaimDecision | None, granted: GrantedClaim | None) -> None:
             if ticket.client is None:
                 if granted is not None:
@@ -372,7 +313,7 @@
         time_left = ticket.deadline - clock.monotonic()
         self.keyed_requests.claim(asked.operation, time_left, asked.route.target, done)
 
-    def _answer_repeat(self, ticket: Ticket, outcome: ClaimOutcome, decision: ClaimDecision | None) -> None:
+    def _answer_repeat(self, ticket: InFlightRequest, outcome: ClaimOutcome, decision: ClaimDecision | None) -> None:
         """Answer a try of a keyed operation that is not sent: it gives back its unit of the quota."""
         asked = ticket.asked
         self.balancer.unsent(ticket.id, clock.monotonic())
@@ -392,7 +333,7 @@
             logs.say("operation_repeated", id=asked.txn.decode("latin-1"), status=status, reason=reason)
         self._respond(Give(ticket.id, status, wait, reason=reason))
 
-    def _settlement(self, ticket: Ticket, give: Give) -> OperationEnd | OperationWithdrawal:
+    def _settlement(self, ticket: InFlightRequest, give: Give) -> OperationEnd | OperationWithdrawal:
         """What the voters are told of an operation whose try is answered so."""
         claim, now = ticket.claim.claim, clock.monotonic()
         if give.answer is not None:
@@ -402,20 +343,25 @@
             return self.keyed_requests.claims.end(OperationEnd(claim, kept), now)
         return self.keyed_requests.claims.withdraw(claim, now)
 
-    def _end_without_answer(self, ticket: Ticket) -> None:
+    def _end_without_answer(self, ticket: InFlightRequest) -> None:
         """Have it kept that an operation may have run, and that its answer is not known or too large to keep."""
         claim, ticket.claim = ticket.claim, None
         if claim is not None:
             end = self.keyed_requests.claims.end(OperationEnd(claim.claim, None), clock.monotonic())
             self.keyed_requests.send(end)
 
-    def _silent(self, ticket: Ticket, number: int) -> None:
+    def _silent(self, ticket: InFlightRequest, number: int) -> None:
         """An answer has fallen silent midway: another server may be asked, but this one is still waited for."""
         if ticket.client is not None:
             self._do(self.balancer.silent_amid(ticket.id, number, clock.monotonic()))
 
     def _outcome(
-        self, ticket: Ticket, number: int, status: Status, answer: Answer | None, passing: Passing | None = None
+        self,
+        ticket: InFlightRequest,
+        number: int,
+        status: Status,
+        answer: Answer | None,
+        passing: StreamedAnswer | None = None,
     ) -> None:
         if ticket.client is not None and ticket.passing is not None and ticket.passing is passing:
             self.balancer.passed(ticket.id, number, status, clock.monotonic())
@@ -477,7 +423,7 @@
             ticket, lambda c: c.answered(give.status, fields, b"%b\n" % give.reason.encode()), give.status, give.reason
         )
 
-    def _finish(self, ticket: Ticket, answer, status: int, reason: str = "") -> None:
+    def _finish(self, ticket: InFlightRequest, answer, status: int, reason: str = "") -> None:
         """`status`: what the client gets, 0 if it has left; `reason`: why it is no server's whole answer."""
         client, ticket.client = ticket.client, None
         if client is None:
@@ -490,13 +436,13 @@
         if status:  # counted once the answer is out, which waits for nothing here
             self.metrics.ended(ticket.asked.route, ticket.svc, status, reason, span)
 
-    def _forget(self, ticket: Ticket) -> None:
+    def _forget(self, ticket: InFlightRequest) -> None:
         if ticket.client is None and not ticket.out and self.tickets.pop(ticket.id, None) is not None:
             self.open_ids.discard(ticket.asked.txn)
             if ticket.timer is not None:
                 ticket.timer.cancel()
 
-    def _expire(self, ticket: Ticket) -> None:
+    def _expire(self, ticket: InFlightRequest) -> None:
         """The client's time is up: it is answered, unless it has been or a large answer is on its way."""
         if ticket.answering is not None:
             self._respond(ticket.answering)
@@ -510,12 +456,12 @@
                 exchange.give_up(Status.TIMEOUT)
 
     @staticmethod
-    def _break_off(ticket: Ticket) -> None:
+    def _break_off(ticket: InFlightRequest) -> None:
         """End a large answer that is still on its way: its client sees that it isn't whole."""
         if ticket.client is not None and (exchange := ticket.out.get(ticket.passing.number)) is not None:
             exchange.give_up(Status.TIMEOUT)
 
-    def _time_out(self, ticket: Ticket) -> None:
+    def _time_out(self, ticket: InFlightRequest) -> None:
         """Answer a request that has waited as long as its client does: refused, if it came to no server."""
         for exchange in list(ticket.out.values()):
             if exchange.connection is None:
--- a/crowseam/model_checks/callers/mutants.py
+++ b/crowseam/model_checks/callers/mutants.py
@@ -12,6 +12,7 @@
 from crowseam.gateway import controller_session, gateway, http_dialect
 from crowseam.gateway import load_balancer as balancers
 from crowseam.gateway.http_dialect import ServerDialect
+from crowseam.gateway.in_flight import InFlightRequest, StreamedAnswer
 from crowseam.model_checks.schedules import Mutant, Report
 from crowseam.transport.http import Call, HttpConnection
 from crowseam.transport.links import Link
@@ -96,7 +97,7 @@
         told(self, count)
 
 
-def _passing_begin(self: gateway.Passing, answer: Any, length: int | None, source: Any) -> None:
+def _passing_begin(self: StreamedAnswer, answer: Any, length: int | None, source: Any) -> None:
     ticket = self.ticket
     if ticket.client is None:
         return
@@ -108,7 +109,7 @@
     ticket.client.begin(answer, length, source)
 
 
-def _passing_piece(self: gateway.Passing, data: bytes) -> None:
+def _passing_piece(self: StreamedAnswer, data: bytes) -> None:
     if self.ticket.client is not None:
         self.ticket.client.piece(data)
 
@@ -187,12 +188,12 @@
     told(self)
 
 
-def _expire_answered(self: gateway.Gateway, ticket: gateway.Ticket, told: Callable = gateway.Gateway._expire) -> None:
+def _expire_answered(self: gateway.Gateway, ticket: InFlightRequest, told: Callable = gateway.Gateway._expire) -> None:
     if ticket.client is not None:
         told(self, ticket)
 
 
-def _refuse_sent(self: gateway.Gateway, ticket: gateway.Ticket, told: Callable = gateway.Gateway._time_out) -> None:
+def _refuse_sent(self: gateway.Gateway, ticket: InFlightRequest, told: Callable = gateway.Gateway._time_out) -> None:
     # What a server has had is refused at its timeout as if none had.
     for exchange in list(ticket.out.values()):
         if exchange.connection is not None:
@@ -252,8 +253,8 @@
         mutant("no unsafe request sent again after silence", 16, (balancers.LoadBalancer, "_send", _hedge_all)),
         mutant("no 503 for what may have run", 0, (balancers.LoadBalancer, "_again", _refuse_all)),
         mutant("a server's promise passed on only with X-Not-Run", 7, (balancers, "NOT_RUN", frozenset())),
-        mutant("one attempt's large answer begun", 27, (gateway.Passing, "begin", _passing_begin)),
-        mutant("one attempt's pieces passed on", 27, (gateway.Passing, "piece", _passing_piece)),
+        mutant("one attempt's large answer begun", 27, (StreamedAnswer, "begin", _passing_begin)),
+        mutant("one attempt's pieces passed on", 27, (StreamedAnswer, "piece", _passing_piece)),
         mutant("requests of a client served in turn", 3, (fronts.ClientConnection, "_next", _front_out_of_turn)),
         mutant("the number of a draw compared", 6, (controller_session.ControllerSession, "_heard", _draw_any)),
         mutant("a draw's answer counted once", 3, (controller_session.ControllerSession, "_heard", _draw_kept)),
