--- a/crowseam/simulator/actors/clients.py
+++ b/crowseam/simulator/actors/clients.py
@@ -20,6 +20,7 @@
 PROMISES = frozenset((429, 503, 408, 421))  # statuses of requests that no server has run
 LEFT_LEAST = 0.005  # s that a try has to have left
 RETRY_PAUSE, RETRY_RANDOM = 0.02, 0.05  # s until the next try: at least, and at random for each try before
+REPEATED = 0.1  # part of the keyed operations that are sent again after a good answer
 PATIENCE = 0.05  # s beyond its deadline that a client waits for an answer
 
 
@@ -150,13 +151,18 @@
         sending.machine = self.platform.pick(self.name, ask.client, ask.tries - 1)
         sending.open()
 
+    def succeeded(self, ask: SimulatedRequest) -> None:
+        """A try has brought success; some operations are sent once more all the same."""
+        if ask.operation and self.rng.random() < REPEATED:
+            self.loop.call_later(self.rng.uniform(0.0, ask.ends - self.world.now), self._try, ask)
+
     def failed(self, ask: SimulatedRequest, answer: http_client.Answer | None, read: bool) -> None:
         """A try has brought no success; `read`: the ingress may have read the request."""
         now, route = self.world.now, ask.route
         status = answer.status if answer is not None else 0
         impatient = (ask.client & 0xFF) < 256 * self.simulation.deployment.clients.impatient
         repeats = route.repeats * (2 if impatient else 1)
-        may = status not in FINAL and (route.kind == "safe" or status in PROMISES or not read)
+        may = status not in FINAL and (route.kind != "unsafe" or status in PROMISES or not read)
         if not may or ask.tries > repeats or now >= ask.ends:
             return
         wait = RETRY_PAUSE + RETRY_RANDOM * self.rng.random() * ask.tries
@@ -203,10 +209,14 @@
         fields = [("X-Attempt-Id", self.attempt), ("X-Time-Left", str(left))]
         if ask.key:
             fields.append(("Authorization", f"Bearer {ask.key}"))
+        if ask.operation:
+            fields.append(("X-Op-Key", ask.operation))
         simulation = zone.simulation
-        path = f"/{ask.route.name}/{self.attempt[:6]}"
+        # All tries of an operation are one request.
+        named = ask.attempts[0] if ask.operation else self.attempt
+        path = f"/{ask.route.name}/{named[:6]}"
         safe = ask.route.kind == "safe"
-        body = b"" if safe else self.attempt.encode() * (ask.route.bytes_in // 16 + 1)
+        body = b"" if safe else named.encode() * (ask.route.bytes_in // 16 + 1)
         simulation.judge.sent(ask, self.attempt, self.machine.name, path, "GET" if safe else "POST", body)
         self.sent = True
         self.timer = zone.loop.call_later(ask.ends - now + PATIENCE, self._late)
@@ -235,6 +245,7 @@
         else:
             self.connection.abort()
         if answer is not None and 200 <= answer.status < 300:
+            zone.succeeded(self.ask)
             return
         zone.failed(self.ask, answer, read)
 
--- a/crowseam/simulator/actors/requests.py
+++ b/crowseam/simulator/actors/requests.py
@@ -42,6 +42,8 @@
         "answered_at",
         "refused",
         "key",
+        "operation",
+        "success",
     )
 
     def __init__(self, route: Route, tenant: Tenant | None, zone: str, client: int, born: float, key: str) -> None:
@@ -52,6 +54,8 @@
         self.answered_at: float | None = None
         self.refused = False
         self.key = key
+        self.operation = f"op-{zone}-{client:x}-{born:.9f}" if route.kind == "idem" else ""  # its X-Op-Key
+        self.success = ""  # the seal of its first good answer
 
 
 class ServerRequest:
--- a/crowseam/simulator/judge.py
+++ b/crowseam/simulator/judge.py
@@ -149,17 +149,21 @@
         if 200 <= status < 300:
             stamped = answer.headers.get(b"x-server-seal", b"").decode("latin-1")
             server = stamped.partition(".")[0]
-            if stamped != seal(server, attempt, answer.body) or b"content-encoding" in answer.headers:
+            ran = [each for each in (ask.attempts if ask.operation else [attempt]) if self.sents[each].ran]
+            is_sealed = any(stamped == seal(server, each, answer.body) for each in ran or [attempt])
+            if not is_sealed or b"content-encoding" in answer.headers:
                 self.broken("MIXED", f"{attempt}: a success that is not the server's ({stamped!r})")
-            elif not sent.ran:
+            elif not ran:
                 self.broken("MIXED", f"{attempt}: a success, though no server ran it")
-            else:
-                ask.answered_at = now
+            elif ask.operation and ask.success not in ("", stamped):
+                self.broken("MIXED", f"{attempt}: a repeat gets another answer than the first")
+            elif not ask.success:
+                ask.success, ask.answered_at = stamped, now
                 late = now - ask.born > ask.route.target
                 ask.earned = ask.route.late if late else ask.route.worth
         elif status in PROMISES:
             ask.refused = True
-            if ask.route.kind == "unsafe" and sent.ran:
+            if ask.route.kind != "safe" and sent.ran:
                 self.broken("REFUSED", f"{attempt}: answered {status}, but it has run")
         elif 300 <= status < 500 and status != 409 and self.allowed(ask, sent.at):
             if not self.in_touch(machine, now):
@@ -221,9 +225,11 @@
             return
         sent.ran += 1
         ask, service = sent.ask, server.service.name
-        if ask.route.kind == "unsafe":
-            if sent.ran > 1:
-                self.broken("TWICE", f"{job.attempt} has run {sent.ran} times")
+        if ask.route.kind != "safe":
+            # A day is shorter than the window of a key.
+            runs = sum(self.sents[each].ran for each in ask.attempts if each in self.sents)
+            if (runs if ask.operation else sent.ran) > 1:
+                self.broken("TWICE", f"{ask.operation or job.attempt} has run {max(runs, sent.ran)} times")
             if sent.status in PROMISES:
                 self.broken("REFUSED", f"{job.attempt} runs after an answer {sent.status}")
         if not any(service in v.routes.get(ask.route.name, ()) for v in self.versions):
--- a/crowseam/simulator/scenario/day.py
+++ b/crowseam/simulator/scenario/day.py
@@ -86,11 +86,14 @@
     tells_load: bool = True
 
 
+KINDS = ("safe", "unsafe", "idem")  # of routes
+
+
 class Route(Struct):
     """A route and what is asked on it: `rate` a second, `work` s of a server, `deadline` s of a client.
 
     An answer within `target` s is worth `worth`, a later one `late`.  A client asks again up to `repeats`
-    times.
+    times; of the kind `idem` it does so with the key of the first, at times after a good answer too.
     """
 
     name: str
@@ -239,8 +242,8 @@
     for route in d.routes:
         if not route.services() or not set(route.services()) <= services:
             raise DayError(f"deployment.routes {route.name}: it names no service, or one that is not there")
-        if route.kind not in ("safe", "unsafe"):
-            raise DayError(f"deployment.routes {route.name}: kind is safe or unsafe")
+        if route.kind not in KINDS:
+            raise DayError(f"deployment.routes {route.name}: kind is none of {', '.join(KINDS)}")
     for number, fault in enumerate(day.faults):
         if fault.kind not in FAULT_KINDS:
             raise DayError(f"faults[{number}].kind: {fault.kind!r} is none of {', '.join(sorted(FAULT_KINDS))}")
--- a/tests/crowseam/test_simulator.py
+++ b/tests/crowseam/test_simulator.py
@@ -465,6 +465,30 @@
         self.assertGreater(told.spans[-1], 0.9)
 
 
+def keyed(length, **more):
+    """The small day with orders that run once by their key."""
+    orders = {"name": "borrow", "svc": "loans", "rate": 15.0, "work": 0.08, "kind": "idem"}
+    look_ups = {"name": "look-up", "svc": "maps", "rate": 10.0, "work": 0.05}
+    return small(length, deployment={"routes": [look_ups, orders]}, **more)
+
+
+class TestKeyedDays(unittest.TestCase):
+    def test_a_quiet_day_is_served_and_repeats_are_answered(self):
+        told = simulation.play(keyed(6.0), 3)[0]
+        self.assertEqual((told.rules, told.failures, told.share), ({}, [], 1.0))
+
+    def test_a_day_of_faults_breaks_no_rule(self):
+        faults = [
+            {"kind": "lost_answers", "at": 0.5, "target": "loans", "amount": 0.1, "span": 3.0},
+            {"kind": "kill", "at": 1.0, "target": "n-1", "role": "controller", "span": 1.0},
+            {"kind": "kill", "at": 3.0, "target": "s-1", "role": "gateway", "span": 0.5},
+            {"kind": "wipe", "at": 5.0, "target": "s-1", "span": 1.0},
+        ]
+        told = simulation.play(keyed(9.0, faults=faults), 1)[0]
+        self.assertEqual((told.rules, told.failures), ({}, []))
+        self.assertGreater(told.share, 0.8)
+
+
 class TestJudge(unittest.TestCase):
     """A defect put into the daemons' code is seen as the rule that it breaks."""
 
@@ -486,6 +510,10 @@
         rules = self.broken(small(4.0, faults=lost), (LoadBalancer, "_again", forgetful))
         self.assertTrue(rules.get("TWICE") and rules.get("REFUSED"), rules)
 
+    def test_twice_and_mixed_of_keyed_operations(self):
+        sends = (Gateway, "_may_send", lambda *args: True)
+        self.assertEqual(set(self.broken(keyed(4.0), sends)), {"TWICE", "MIXED"})
+
     def test_quota(self):
         hot = [{"kind": "load", "at": 0.0, "target": "south", "amount": 12.0, "span": 6.0}]
         passes = (Admission, "admit", lambda *a, **k: AdmissionDecision(True))
