--- a/tests/crowseam/test_configuration.py
+++ b/tests/crowseam/test_configuration.py
@@ -62,6 +62,12 @@
             taken(current, method, body)
         self.assertEqual((caught.exception.status, caught.exception.field), (status, field), str(caught.exception))
 
+    def test_each_kind_that_the_operators_pages_name_is_taken(self):
+        # An unknown one has the whole configuration refused, and nothing is served: docs/incidents/fault-short.md.
+        for kind in ("safe", "unsafe", "idem"):
+            table = Table(taken(EMPTY, "PUT", put(1, 0, svc("s"), svc("t"), route("r", kind=kind))))
+            self.assertEqual(table.routes["r"].kind, kind)
+
     def test_each_fault_of_an_item_is_named_by_its_field(self):
         split = [{"svc": "s", "wt": 1}, {"svc": "t", "wt": -1}]
         cases = [
