--- a/crowseam/cli/soak_command.py
+++ b/crowseam/cli/soak_command.py
@@ -17,6 +17,7 @@
 FIRST_NETWORK = 64  # second number of the loopback addresses of the first soak; others at the same time have the next
 CLIENTS_A_MACHINE = 6
 MAX_CLIENTS = 120
+MAX_LINES = 10  # violations of a soak that are printed
 LARGE_FROM = 12  # machines, from which on six of them have a controller
 
 
@@ -65,6 +66,8 @@
     statuses = ", ".join(f"{status}: {count}" for status, count in sorted(result.statuses.items()))
     acts = ", ".join(f"{count} {act}" for act, count in sorted(result.acts.items()))
     sys.stdout.write(f"seed {result.seed}: {result.runs} runs, {result.repeats} repeats; {statuses}; {acts}\n")
-    for violation in result.violations:
-        sys.stdout.write(f"seed {result.seed}: VIOLATION {violation} {result.folder}\n")
+    for violation in result.violations[:MAX_LINES]:
+        sys.stdout.write(f"seed {result.seed}: VIOLATION {violation}\n")
+    if result.violations:
+        sys.stdout.write(f"seed {result.seed}: {len(result.violations)} violations; {result.folder or 'not kept'}\n")
     sys.stdout.flush()
--- a/crowseam/model_checks/operations/check.py
+++ b/crowseam/model_checks/operations/check.py
@@ -24,7 +24,7 @@
 from crowseam.controller.durable_state import COUNTED_FOR_OPERATIONS_KEY
 from crowseam.model_checks.operations.machines import KEY_WINDOW_S, Controller, GatewayMachine
 from crowseam.model_checks.operations.world import World
-from crowseam.model_checks.schedules import Report, Violation
+from crowseam.model_checks.schedules import Report, Violation, play
 from crowseam.operations.records import CLOCK_DRIFT, MARGIN_S
 
 STEPS = 14  # acts of fate in a schedule
@@ -352,13 +352,5 @@
 def run(seeds: Iterable[int], steps: int = STEPS, types: Types = Types()) -> Report:  # noqa: B008 - a constant
     """Play a schedule for each seed."""
     report = Report()
-    for seed in seeds:
-        schedule = _Schedule(seed, steps, types)
-        try:
-            schedule.play()
-        except Violation as violation:
-            report.violations.append(f"seed {seed} at {schedule.world.now:.3f}s: {violation}")
-        report.schedules += 1
-        report.events += schedule.world.events
-        report.outcomes += schedule.world.outcomes
+    play(seeds, lambda seed: _Schedule(seed, steps, types), report)
     return report
--- a/crowseam/model_checks/operations/mutants.py
+++ b/crowseam/model_checks/operations/mutants.py
@@ -202,6 +202,11 @@
         return ticket.claim is not None or super()._may_send(ticket, send)
 
 
+def _begin_late(self: GatewayMachine, exchange: Any, ident: str) -> None:
+    exchange.send_until = float("inf")
+    GatewayMachine._begin_exchange(self, exchange, ident)
+
+
 class _WithdrawsWhatMayHaveRun(Gateway):
     def _end_without_answer(self, ticket: Any) -> None:
         claim, ticket.claim = ticket.claim, None
@@ -276,7 +281,7 @@
     Mutant("who does not know of a newcomer does not teach it", _service(catch_up_type=_TeachesBehind)),
     Mutant("what is learned is on disk before it counts", _service(_CountsUnwritten)),
     Mutant("nothing is sent without a grant", _gateway(gateway_type=_SendsUngranted)),
-    Mutant("nothing is sent after its time", _gateway(gateway_type=_SendsLate)),
+    Mutant("nothing is sent after its time", _gateway(gateway_type=_SendsLate, _begin_exchange=_begin_late)),
     Mutant("only what has surely not run is withdrawn", _gateway(gateway_type=_WithdrawsWhatMayHaveRun)),
     Mutant("a run goes on when its client has left", _gateway(gateway_type=_DropsDepartedRuns)),
     Mutant("a claim is put to one coordinator", _gateway(keyed_requests_type=_ClaimsTwiceUnderOneName)),
