--- a/crowseam/operations/catch_up.py
+++ b/crowseam/operations/catch_up.py
@@ -46,11 +46,15 @@
 
         Of the voters before so many may have lost their disks while this one learns that they are no majority.
         """
-        was_learning = self.is_catching_up and voters != self._voters
+        is_change = bool(voters) and voters != self._voters
+        was_learning = self.is_catching_up
         super().set_voters(voters, now)
-        if was_learning and voters and self.is_catching_up:
-            del self._majorities[1:]
-            self._add_sources(voters)
+        if not is_change or not self.is_catching_up:
+            return
+        # Also at the change that lets it in: it may have heard of none since voters of long before.
+        del self._majorities[1:]
+        self._add_sources(voters)
+        if was_learning:
             self._begin()
 
     def tick(self, now: float, log_slot: int, voters_slot: int) -> list[OutgoingLearnRequest]:
--- a/tests/crowseam/test_operations.py
+++ b/tests/crowseam/test_operations.py
@@ -300,6 +300,15 @@
                 newcomer._requested_at = -1e9
                 self.assertEqual(self.teach(newcomer, own, teacher, replica)[1], is_enough)
 
+    def test_one_that_knew_only_voters_of_long_before_learns_of_those_in_force(self):
+        # Seed 37 of a mutant of the check: changes had passed it by, and most of those before had lost their disks.
+        newcomer, own, replica = OperationCatchUp("new", False, 100.0), self.replica(0), self.replica(3)
+        newcomer.set_voters({addr: f"lost {addr}" for addr in VOTERS} | {"c0": "id-0"}, 0.0)
+        newcomer.set_voters({**VOTERS, "c4": "new"}, 0.1)
+        for teacher, is_enough in (("c0", False), ("c1", False), ("c2", True)):
+            newcomer._requested_at = -1e9
+            self.assertEqual(self.teach(newcomer, own, teacher, replica)[1], is_enough)
+
     def test_a_voter_teaches_nobody_who_knows_of_other_voters(self):
         source = OperationCatchUp("id-0", True, 100.0)
         for theirs, ours in (((4, 4), (5, 5)), ((6, 6), (5, 5))):
