--- a/tests/crowseam/test_operations.py
+++ b/tests/crowseam/test_operations.py
@@ -1,9 +1,13 @@
 """Keyed operations: what one voter, one coordinator, one newcomer and one gateway decide."""
 
+import socket
 import unittest
 from random import Random
 from unittest import mock
 
+import msgspec
+
+from crowseam import clock
 from crowseam.gateway.keyed_requests import SETTLE_WAIT_S, KeyedRequests, Operation
 from crowseam.operations.catch_up import OperationCatchUp
 from crowseam.operations.claims import CLAIM_TIMEOUT_S, GIVE_UP_AFTER_S, OperationClaims
@@ -29,7 +33,9 @@
 )
 from crowseam.operations.records import Retention
 from crowseam.operations.replica import MAX_ANSWER_BYTES, OperationReplica
-from tests.crowseam import test_controller
+from fennelpoint.interface import BackendState, Status
+from fennelpoint.net import backends
+from tests.crowseam import test_controller, test_gateway
 
 WINDOW_S = 60.0
 KEY = b"k" * 16
@@ -403,3 +409,57 @@
         self.keyed.claim(Operation(KEY, b"f"), 2.0, 0.8, lambda outcome, *_: self.told.append((outcome, None)))
         self.assertEqual(self.outcomes(), [ClaimOutcome.FULL])
         self.assertEqual(self.sent, [])
+
+
+class LateSends(test_gateway.Case):
+    """What was granted is not sent once its time is over."""
+
+    def setUp(self):
+        super().setUp()
+        self.sent = []
+        claims = OperationClaims("g", 7)
+        self.keyed = KeyedRequests(self.process.loop, Random(1), claims, self.sent.append)
+        self.gateway.keyed_requests = self.keyed
+
+    def ask_keyed(self):
+        route = msgspec.structs.replace(test_gateway.ROUTES["once"], keyed=True)
+        client = mock.Mock()
+        client.answered.side_effect = lambda status, *_: self.answers.append((self.world.now, "answered", (status,)))
+        asked = mock.Mock(txn=b"t", route=route, tenant="", upload=None, operation=Operation(KEY, b"f"))
+        asked.time_left = 2.0
+        self.begun = self.world.now
+        self.gateway.admit(client, asked)
+        return self.sent[-1]
+
+    def grant(self, claimed):
+        self.keyed.on_decision(ClaimDecision(claimed.name.number, ClaimOutcome.GRANTED))
+
+    def test_nothing_is_sent_before_the_grant_and_then_with_its_time(self):
+        claimed = self.ask_keyed()
+        self.assertEqual(self.exchanges, [])
+        self.grant(claimed)
+        (exchange,) = self.exchanges
+        self.assertAlmostEqual(exchange.send_until, self.process.clock(self.begun) + 2.0)
+
+    def test_a_grant_that_is_read_after_a_stand_still_is_not_used(self):
+        claimed = self.ask_keyed()
+        with mock.patch.object(clock, "monotonic", lambda: self.process.clock(self.world.now) + 3.0):
+            self.grant(claimed)
+        self.assertEqual(self.exchanges, [])
+        self.assertEqual(self.sent[-1], OperationWithdrawal(claimed.name, KEY))
+
+    def test_a_connection_that_comes_up_after_its_time_sends_nothing(self):
+        ends = []
+        ours, theirs = socket.socketpair()
+        self.addCleanup(ours.close)
+        self.addCleanup(theirs.close)
+        transport = mock.Mock(get_extra_info=lambda name: ours, is_closing=lambda: False)
+        for late, status in ((-1.0, Status.CONNECT_FAILED), (1.0, None)):
+            now = self.process.clock(self.world.now)
+            exchange = backends.Exchange(lambda: b"x", lambda *end: ends.append(end[0]), send_until=now + late)
+            upstream = backends.Upstream("10.9.0.1", 80, 0.0, BackendState.READY)
+            connection = backends.UpstreamConnection(self.gateway.backends, upstream, exchange)
+            transport.write.reset_mock()
+            connection.connection_made(transport)
+            self.assertEqual(transport.write.called, status is None)
+        self.assertEqual(ends, [Status.CONNECT_FAILED])
