Log how each attempt of a refused or failed request ended

The logs named only how the last attempt had ended, so they could not tell a withdrawn claim from one that the voters had lost.

--- a/crowseam/gateway/gateway.py
+++ b/crowseam/gateway/gateway.py
@@ -434,6 +434,8 @@
                 "share": -1.0 if bucket.share is None else bucket.share,
                 "rate": self.table.tenants[request.parsed.tenant].rate,
             }
+        if response.outcomes:
+            fields["attempts"] = ",".join(outcome.value for outcome in response.outcomes)
         if request.claim_outcome is None or response.status in NOT_EXECUTED_STATUSES:
             logs.emit(
                 "refused" if response.status in NOT_EXECUTED_STATUSES else "failed",
--- a/crowseam/gateway/load_balancer.py
+++ b/crowseam/gateway/load_balancer.py
@@ -103,6 +103,7 @@
     has_reached_server: bool = False
     hedge_at: float = inf
     last_failure: object = None  # newest error answer of a server, which is forwarded if no try succeeds
+    outcomes: list[Status] = field(default_factory=list)  # of the attempts that have ended, in that order
 
 
 # Actions
@@ -126,6 +127,7 @@
     retry_after_s: float = 0.0
     answer: object = None
     reason: str = ""
+    outcomes: list[Status] = field(default_factory=list)  # of the attempts that have ended, in that order
 
 
 @dataclass(slots=True)
@@ -408,6 +410,7 @@
             return []
         server, sent_at = request.in_flight.pop(attempt)
         server.in_flight -= 1
+        request.outcomes.append(status)
         self._update_estimates(request, server, sent_at, status, load, now)
         if status is Status.OK:
             self._record_answer(request, now - request.arrived_at, now)
@@ -461,15 +464,14 @@
         self._record_answer(request, max(now - request.arrived_at, request.route.target * 1.5), now)
         if request.last_failure is not None and request.last_failure.status not in NOT_EXECUTED_STATUSES:
             return [Respond(request.id, 0, answer=request.last_failure)]
-        return [
-            Respond(request.id, 504 if now >= request.deadline - MIN_RETRY_TIME_LEFT_S else 502, reason=status.value)
-        ]
+        code = 504 if now >= request.deadline - MIN_RETRY_TIME_LEFT_S else 502
+        return [Respond(request.id, code, reason=status.value, outcomes=request.outcomes)]
 
     def _refuse(self, request: RequestState, now: float, reason: str) -> list:
         """Answer 503 at once, with a Retry-After: the request has not run and will not."""
         self.requests.pop(request.id, None)
         wait_s = max(MIN_RETRY_AFTER_S, 0.5 * self.estimate(request.svc, request.route).work_s)
-        return [Respond(request.id, 503, wait_s, reason=reason)]
+        return [Respond(request.id, 503, wait_s, reason=reason, outcomes=request.outcomes)]
 
     def on_hedge_timer(self, request_id: int, now: float) -> list:
         """Hedge a repeatable request that has waited long, within the retry budget."""
@@ -514,7 +516,7 @@
             return []
         self._release_attempts(request, now)
         self._record_answer(request, now - request.arrived_at, now)
-        return [Respond(request_id, 504, reason="deadline")]
+        return [Respond(request_id, 504, reason="deadline", outcomes=request.outcomes)]
 
     def on_stream_end(self, request_id: int, attempt: int, status: Status, now: float) -> None:
         """A large answer, which was streamed to the client, has ended.
--- a/fennelpoint/net/backends.py
+++ b/fennelpoint/net/backends.py
@@ -501,8 +501,11 @@
 
     def _reject_answer(self, reason: str) -> None:
         """Reject an invalid answer: the request may have run, and the connection cannot be reused."""
-        warn_rate_limited("upstream", "an answer of %s:%d %s", self.upstream.host, self.upstream.port, reason)
         exchange, request_complete = self.exchange, self.written
+        suffix = "" if request_complete else ", before its request was completely written"
+        warn_rate_limited(
+            "upstream", "an answer of %s:%d %s%s", self.upstream.host, self.upstream.port, reason, suffix
+        )
         self.give_up()
         exchange.end(Status.ERROR if request_complete else Status.CONNECT_FAILED)
 
