--- a/tests/crowseam/test_check_callers.py
+++ b/tests/crowseam/test_check_callers.py
@@ -7,15 +7,8 @@
 from crowseam.controller.pending_calls import PendingCalls
 from crowseam.gateway.http_dialect import ServerDialect
 from crowseam.model_checks.callers import check
-from crowseam.model_checks.callers.check import (
-    FAULTS,
-    STRIDE,
-    SWEEP_INTERVAL,
-    GatewaySchedule,
-    Plan,
-    Sweep,
-    build_request,
-)
+from crowseam.model_checks.callers.gateway_schedules import STRIDE, SWEEP_INTERVAL, GatewaySchedule, Sweep
+from crowseam.model_checks.callers.scripted import FAULTS, Plan, build_request
 from fennelpoint.net.backends import UpstreamConnection
 
 
