A request that a server has only a part of may have run

Cause: a server may run a request before it has read the whole body. The connection pool took a request that was not completely written for one that cannot have run, wherever its attempt ended without a usable answer: an answer over 64 KiB, a spoilt or incomplete one, a lost connection, an attempt given up. The load balancer then refused it, and the gateway withdrew its claim.

Change: whether a part of a request can run belongs to the protocol (Dialect.may_run_incomplete_requests). Only an attempt without a connection, or an answer with X-Not-Run, proves now that a request has not run.

--- a/crowseam/gateway/http_dialect.py
+++ b/crowseam/gateway/http_dialect.py
@@ -19,6 +19,8 @@
 class ServerDialect(Dialect):
     """Matches answers to requests by the attempt id they echo; a success needs its seal and its whole body."""
 
+    may_run_incomplete_requests = True
+
     def classify(self, answer: Answer, whole: bool) -> Status:
         """Return the outcome that a complete answer proves; `whole`: the server has the whole request."""
         if header_value(answer.headers, NOT_RUN_HEADER) is not None or answer.status == 421:
--- a/crowseam/gateway/load_balancer.py
+++ b/crowseam/gateway/load_balancer.py
@@ -402,8 +402,8 @@
         """An attempt has ended.
 
         OK: a complete success. ERROR: an error answer of the server, which ran it. FULL: the server states that
-        it did not run it. CONNECT_FAILED, NOT_SENT: the server never had the whole request. RESET, TIMEOUT: it may
-        have run.
+        it did not run it. CONNECT_FAILED, NOT_SENT: nothing of the request was sent to a server. RESET, TIMEOUT: it
+        may have run.
         """
         request = self.requests.get(request_id)
         if request is None or attempt not in request.in_flight:
--- a/crowseam/model_checks/callers/gateway_schedules.py
+++ b/crowseam/model_checks/callers/gateway_schedules.py
@@ -35,6 +35,9 @@
 class GatewaySchedule:
     """The real gateway between scripted clients, servers and a scripted controller."""
 
+    server_type: type[ServerConnection] = ServerConnection
+    controller_type: type[ScriptedController] = ScriptedController
+
     def __init__(self, seed: int, steps: int) -> None:
         self.seed, self.steps = seed, steps
         world = self.world = ScriptedWorld(seed)
@@ -96,8 +99,8 @@
         world = self.world
         for at, name in enumerate(SERVERS):
             process = world.network.process(name, f"10.1.0.{at + 1}")
-            world.network.listen(process, lambda name=name: ServerConnection(world, name, self.plan), process.ip, 8080)
-        self.controller = ScriptedController(world)
+            world.network.listen(process, lambda name=name: self.server_type(world, name, self.plan), process.ip, 8080)
+        self.controller = self.controller_type(world)
         self.start()
 
     def start(self) -> None:
--- a/crowseam/model_checks/callers/mutants.py
+++ b/crowseam/model_checks/callers/mutants.py
@@ -270,6 +270,11 @@
             (balancers.LoadBalancer, "on_outcome", _treat_as_not_sent((Status.ERROR,))),
         ),
         mutant("no unsafe request sent again after silence", 16, (balancers.LoadBalancer, "_send", _hedge_unsafe)),
+        mutant(
+            "what a server has a part of taken for what may have run",
+            15,
+            (ServerDialect, "may_run_incomplete_requests", False),
+        ),
         mutant("no 503 for what may have run", 0, (balancers.LoadBalancer, "_retry_or_respond", _refuse_after_run)),
         mutant(
             "a server's promise passed on only with X-Not-Run", 7, (balancers, "NOT_EXECUTED_STATUSES", frozenset())
--- a/fennelpoint/net/backends.py
+++ b/fennelpoint/net/backends.py
@@ -70,6 +70,9 @@
 class Dialect:
     """Interpretation of answers, specific to the protocol of the backends."""
 
+    # Whether a backend may run a request before it has received all of it.
+    may_run_incomplete_requests = False
+
     def classify(self, answer: Answer, request_complete: bool) -> Status:
         """Outcome of an attempt by its answer; `request_complete`: the whole request was written."""
         if answer.status in (503, 504) and (b"x-turned-away", b"1") in answer.headers:
@@ -142,16 +145,20 @@
             self.connection = self.connecting = None
             self.on_done(status, answer)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the backend may have run the request, as far as what it was sent tells."""
+        return self.connection is not None and self.connection.may_have_run
+
     def give_up(self, status: Status) -> None:
         """Stop waiting, and close the connection so that the backend notices and a late answer is not read.
 
-        A request that was not completely written cannot have run: it ends as CONNECT_FAILED whatever `status`
-        says.
+        A request that cannot have run ends as CONNECT_FAILED whatever `status` says.
         """
         connection, connecting = self.connection, self.connecting
         if connecting is not None:
             connecting.cancel()
-        if connection is None or not connection.written:
+        if not self.may_have_run:
             status = Status.CONNECT_FAILED
         if connection is not None:
             connection.give_up()
@@ -282,6 +289,11 @@
         """Whether the request is completely written."""
         return self.body_finished and self.flushed
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the backend may have run the request, of which it may have only a part."""
+        return self.written or self.pool.dialect.may_run_incomplete_requests
+
     def is_stale(self) -> bool:
         """Whether the peer has closed its side or sent unexpected data since the last answer."""
         return self.closed or self.transport.is_closing() or bool(self.poll.poll(0))
@@ -501,13 +513,13 @@
 
     def _reject_answer(self, reason: str) -> None:
         """Reject an invalid answer: the request may have run, and the connection cannot be reused."""
-        exchange, request_complete = self.exchange, self.written
-        suffix = "" if request_complete else ", before its request was completely written"
+        exchange, may_have_run = self.exchange, self.may_have_run
+        suffix = "" if self.written else ", before its request was completely written"
         warn_rate_limited(
             "upstream", "an answer of %s:%d %s%s", self.upstream.host, self.upstream.port, reason, suffix
         )
         self.give_up()
-        exchange.end(Status.ERROR if request_complete else Status.CONNECT_FAILED)
+        exchange.end(Status.ERROR if may_have_run else Status.CONNECT_FAILED)
 
     def check_answer_stall(self) -> None:
         """Detect a stalled answer, for instance one with a wrong length, before the request's deadline."""
@@ -539,14 +551,14 @@
             self._finish_answer()
 
     def connection_lost(self, error: Exception | None) -> None:
-        """Report the outcome, depending on whether the request was completely written."""
-        written, exchange = self.written, self.exchange
+        """Report the outcome, depending on whether the request may have run."""
+        may_have_run, exchange = self.may_have_run, self.exchange
         self.give_up()
         self.pool.connections.discard(self)
         self._take_buffered()
         self.parser = self.poll = None  # breaks the reference cycle between parser and protocol
         if exchange is not None:
-            exchange.end(Status.RESET if written else Status.CONNECT_FAILED)
+            exchange.end(Status.RESET if may_have_run else Status.CONNECT_FAILED)
 
     def close(self) -> None:
         """Close at once."""
