A body that stops is not answered with 408 once a server may have run the request

What callers saw: 408 for an upload that had stood still for 2 s, while a server that had read a part of it ran the request or had run it. 408 promises that it has not run (REFUSED).

Change: the host is asked whether the request may have run (Host.may_have_run, Gateway.may_have_run); if so the client gets 502. The menu ingress still answers 408, as its servers start on whole requests only.

--- a/crowseam/gateway/gateway.py
+++ b/crowseam/gateway/gateway.py
@@ -220,6 +220,16 @@
         """A second request with the id of an open one was rejected."""
         logs.emit("doubled", id=parsed.txn.decode("latin-1"))
 
+    def may_have_run(self, request_id: int) -> bool:
+        """Whether a server may have run an open request; a granted claim counts, as the key stays reserved."""
+        request = self.in_flight.get(request_id)
+        if request is None:
+            return False
+        if request.claim is not None or any(exchange.may_have_run for exchange in request.exchanges.values()):
+            return True
+        has_answer = request.pending_response is not None and request.pending_response.answer is not None
+        return has_answer or self.balancer.may_have_run(request_id)
+
     def client_gone(self, request_id: int) -> None:
         """The client has closed its connection."""
         request = self.in_flight.get(request_id)
--- a/crowseam/gateway/load_balancer.py
+++ b/crowseam/gateway/load_balancer.py
@@ -552,6 +552,11 @@
         if self._has_tenant(request):
             self.admission.refund(request.tenant, now)
 
+    def may_have_run(self, request_id: int) -> bool:
+        """Whether an attempt that has ended may have run."""
+        request = self.requests.get(request_id)
+        return request is not None and request.may_have_run
+
     def on_client_gone(self, request_id: int, now: float) -> None:
         """The client has disconnected."""
         if (request := self.requests.pop(request_id, None)) is not None:
--- a/crowseam/model_checks/callers/early_answers.py
+++ b/crowseam/model_checks/callers/early_answers.py
@@ -198,7 +198,7 @@
         return EarlyAnswer(
             rng.choice((Ending.SUCCESS, Ending.SUCCESS, *Ending)),
             rng.choice((1, LARGE_BODY_BYTES, 2 * LARGE_BODY_BYTES, 100 * LARGE_BODY_BYTES)),
-            rng.choice((0.0, 0.0, 0.05, 0.3)),
+            rng.choice((0.0, 0.0, 0.05, 0.3, 3.0)),
             rng.choice((0, 300, LARGE_BODY_BYTES, 3 * LARGE_BODY_BYTES)),
             rng.choice((1, 4, 10)),
             rng.choice((0, 20, 90, 200, LARGE_BODY_BYTES)),
--- a/crowseam/model_checks/callers/mutants.py
+++ b/crowseam/model_checks/callers/mutants.py
@@ -272,9 +272,10 @@
         mutant("no unsafe request sent again after silence", 16, (balancers.LoadBalancer, "_send", _hedge_unsafe)),
         mutant(
             "what a server has a part of taken for what may have run",
-            15,
+            47,
             (ServerDialect, "may_run_incomplete_requests", False),
         ),
+        mutant("no 408 for what may have run", 95, (gateway.Gateway, "may_have_run", lambda *_: False)),
         mutant("no 503 for what may have run", 0, (balancers.LoadBalancer, "_retry_or_respond", _refuse_after_run)),
         mutant(
             "a server's promise passed on only with X-Not-Run", 7, (balancers, "NOT_EXECUTED_STATUSES", frozenset())
--- a/fennelpoint/net/host.py
+++ b/fennelpoint/net/host.py
@@ -277,6 +277,11 @@
         """Count a request rejected because its id is already in flight."""
         self.metrics.errored[parsed.cls] += 1
 
+    def may_have_run(self, request_id: int) -> bool:
+        """Whether a backend may have run an open request."""
+        request = self.in_flight.get(request_id)
+        return request is not None and any(exchange.may_have_run for exchange in request.exchanges.values())
+
     def client_gone(self, request_id: int) -> None:
         """Handle the disconnect of a client: no answer is sent."""
         request = self.in_flight.get(request_id)
--- a/fennelpoint/net/server.py
+++ b/fennelpoint/net/server.py
@@ -46,6 +46,8 @@
 DRAIN_CLOSE_DELAY_S = 1.0
 DRAIN_MIN_IDLE_S = 0.5  # minimum idle time of connections closed by a drain
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # for SO_LINGER
+TIMEOUT_STATUS = 408  # promises, like a refusal, that the request has not run
+FAILED_STATUS = 502  # the request may have run
 
 REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
@@ -372,6 +374,8 @@
                 self.queue.remove(queued)
             elif queued is self.current and self.open_request is not None:
                 request_id, self.open_request = self.open_request, None
+                if fault.status == TIMEOUT_STATUS and self.server.host.may_have_run(request_id):
+                    fault = BadRequest(str(fault), FAILED_STATUS)
                 self.server.host.client_gone(request_id)
         self.queue.append(QueuedRequest(fault, False))
 
@@ -598,7 +602,7 @@
         elif not (self.in_head or self.in_body):
             self.transport.close()
         else:
-            self._reject(BadRequest("it has not come whole in time", 408))
+            self._reject(BadRequest("it has not come whole in time", TIMEOUT_STATUS))
             self._serve_next()
 
     def check_progress(self, now: float) -> None:
@@ -611,7 +615,7 @@
             if not self.is_reading or self.body_bytes - self.progress_bytes >= MIN_BODY_PROGRESS_BYTES:
                 self._mark_progress()
             elif now - self.progress_at > BODY_PROGRESS_INTERVAL_S:
-                self._reject(BadRequest("it has not come whole in time", 408))
+                self._reject(BadRequest("it has not come whole in time", TIMEOUT_STATUS))
                 self._serve_next()
 
 
--- a/tests/crowseam/test_early_answers.py
+++ b/tests/crowseam/test_early_answers.py
@@ -53,6 +53,13 @@
             schedule = play(EarlyAnswer(Ending.NOT_RUN), kind)
             self.assertEqual(schedule.statuses, [503], kind)
 
+    def test_a_request_whose_body_stops_is_not_answered_as_not_run_once_a_server_has_it(self):
+        """Guards against 408 for what a server ran before it had read the whole body."""
+        for kind in ("long", "idem"):
+            early = EarlyAnswer(Ending.SILENCE, work_s=60.0)
+            schedule = play(early, kind, stops_after=8)
+            self.assertEqual(schedule.statuses, [502], kind)
+
 
 if __name__ == "__main__":
     unittest.main()
