A server's answer to a request that is still being sent is passed on

What callers saw: 502 for a request with a long body that its server had answered with a whole success, and for a keyed one 504 at each repeat until its window ended.

Cause: the gateway took a success before the end of the request for no answer (RESET), and did not stream an answer of over 64 KiB before the request was completely written.

Change: the server dialect judges an answer alike whether or not the request is complete, and a large answer is streamed while the body still comes. The server for clients closes such a connection after the answer, as it has announced, also if the rest of the body came meanwhile; an invalid rest no longer ends an answer that is being streamed, nor puts a second one into it. Menu servers start on whole requests only: what they answer before counts as before.

--- a/crowseam/gateway/http_dialect.py
+++ b/crowseam/gateway/http_dialect.py
@@ -21,12 +21,10 @@
 
     may_run_incomplete_requests = True
 
-    def classify(self, answer: Answer, whole: bool) -> Status:
-        """Return the outcome that a complete answer proves; `whole`: the server has the whole request."""
+    def classify(self, answer: Answer, request_complete: bool) -> Status:
+        """Return the outcome that a complete answer proves, whether or not the server has the whole request."""
         if header_value(answer.headers, NOT_RUN_HEADER) is not None or answer.status == 421:
             return Status.FULL
-        if not whole:
-            return Status.ERROR if answer.status >= 300 else Status.RESET
         return Status.OK if 200 <= answer.status < 300 else Status.ERROR
 
     def find_defect(self, status: int, headers: list[tuple[bytes, bytes]], until_close: bool) -> str:
--- a/crowseam/model_checks/callers/early_answers.py
+++ b/crowseam/model_checks/callers/early_answers.py
@@ -14,9 +14,9 @@
 from crowseam.model_checks.callers.gateway_schedules import GatewaySchedule
 from crowseam.model_checks.callers.scripted import (
     GARBAGE,
-    KINDS_WITH_BODY,
     LARGE_BODY_BYTES,
     LONG_TIMEOUT_MS,
+    UNSAFE_KINDS,
     ClientConnection,
     ScriptedController,
     ScriptedWorld,
@@ -36,6 +36,7 @@
 
 REQUESTS = 12  # of one schedule
 CLIENTS = 3
+KINDS = ("safe", *UNSAFE_KINDS, "idem")
 MAX_ATTEMPTS = 3  # of a keyed operation
 PAUSE_S = 0.02  # between two pieces of a body
 RETRY_PAUSE_S = 0.1
@@ -63,7 +64,8 @@
     size: int = 0  # minimum size of the answer's body in bytes
     pieces: int = 1  # writes of the answer
     cut: int = 0  # byte of the answer at which it breaks off
-    reads_on: bool = True  # whether it reads the rest of the body after its answer only
+    reads_on: bool = True  # whether it reads on meanwhile; else only after its answer
+    chunked: bool = False
 
 
 class EarlyServerConnection(ServerConnection):
@@ -110,7 +112,8 @@
 
     def _write_answer(self, attempt: str, early: EarlyAnswer) -> None:
         status = {Ending.ERROR: 500, Ending.NOT_RUN: 503}.get(early.ending, 200)
-        data = self.answer(attempt, attempt, status, early.ending is not Ending.NOT_RUN, size=early.size)
+        is_run = early.ending is not Ending.NOT_RUN
+        data = self.answer(attempt, attempt, status, is_run, early.chunked, early.size)
         if early.ending in (Ending.SUCCESS, Ending.ERROR, Ending.NOT_RUN):
             size = -(-len(data) // early.pieces)
             for number in range(early.pieces):
@@ -203,6 +206,7 @@
             rng.choice((1, 4, 10)),
             rng.choice((0, 20, 90, 200, LARGE_BODY_BYTES)),
             rng.random() < 0.6,
+            rng.random() < 0.3,
         )
 
     def _run_actions(self) -> None:
@@ -212,7 +216,7 @@
 
     def _draw_upload(self) -> Upload:
         rng = self.early_rng
-        kind = rng.choice(KINDS_WITH_BODY)
+        kind = rng.choice(KINDS)
         upload = Upload(
             kind,
             size=rng.choice((300, LARGE_BODY_BYTES, 3 * LARGE_BODY_BYTES)),
@@ -239,7 +243,9 @@
     def _send_attempt(
         self, connection: ClientConnection, attempt: str, upload: Upload, done: Callable[[], None]
     ) -> None:
-        head, body = build_request(attempt, LONG_TIMEOUT_MS / 1000, upload.framing, upload.size, key=upload.key)
+        head, body = build_request(
+            attempt, LONG_TIMEOUT_MS / 1000, upload.framing, upload.size, key=upload.key, has_body=True
+        )
         connection.outstanding.append(attempt)
         data = head + body
         size = -(-len(data) // upload.pieces)
--- a/crowseam/model_checks/operations/world.py
+++ b/crowseam/model_checks/operations/world.py
@@ -198,7 +198,7 @@
         if self.rng.random() < 0.03 or self.now >= exchange.send_until:
             exchange.end(Status.CONNECT_FAILED)
             return
-        exchange.connection = SimpleNamespace(written=True, give_up=lambda: None)
+        exchange.connection = SimpleNamespace(may_have_run=True, give_up=lambda: None)
         exchange.render()
         self.after(0.001, self._arrived, machine, machine.process, exchange, exchange.expected_id, self.now)
 
--- a/fennelpoint/net/backends.py
+++ b/fennelpoint/net/backends.py
@@ -437,7 +437,7 @@
 
     def _begin_streaming(self) -> None:
         """Start streaming an answer that is too large to buffer."""
-        if not 200 <= self.status < 300 or not self.written or self.exchange.receiver is None:
+        if not 200 <= self.status < 300 or not self.may_have_run or self.exchange.receiver is None:
             self.defect = "is too large"
             return
         self.is_streaming, self.progress_at = True, time.monotonic()
--- a/fennelpoint/net/server.py
+++ b/fennelpoint/net/server.py
@@ -330,9 +330,11 @@
         keep_alive, method = self.parser.should_keep_alive(), self.parser.get_method()
         if self.upload is not None:
             queued, self.uploading = self.uploading, None
-            # Until now, an answer would have closed the connection, as the body was incomplete.
-            queued.keep_alive = keep_alive
-            self.server.streaming.discard(self)
+            if not (queued is self.current and self.is_streaming_answer):
+                # Until now, an answer would have closed the connection, as the body was incomplete.
+                queued.keep_alive = keep_alive
+            if not self.is_streaming_answer:
+                self.server.streaming.discard(self)
             self.upload.feed_eof()
         elif self.target == self.server.reader.ready_path and method == b"GET":
             self._enqueue(QueuedRequest(self.target, keep_alive))
@@ -368,8 +370,10 @@
             # The request is aborted: a backend has received only a part of it.
             self.uploading = None
             queued.content.upload.discard_buffer()
-            self.server.streaming.discard(self)
             self.set_reading(True)
+            if queued is self.current and self.is_streaming_answer:
+                return  # its answer goes on, and the connection is closed after it
+            self.server.streaming.discard(self)
             if queued in self.queue:
                 self.queue.remove(queued)
             elif queued is self.current and self.open_request is not None:
@@ -449,6 +453,11 @@
 
     # Streamed answers
 
+    @property
+    def is_streaming_answer(self) -> bool:
+        """Whether the answer to the current request is being streamed."""
+        return self.write_account is not None
+
     def begin(self, answer: Answer, length: int | None, source: UpstreamConnection) -> None:
         """Send the head of a streamed answer and the first part of its body."""
         self.source, self.write_account = source, WriteBufferAccount(self.budget, self.transport)
