--- a/crowseam/cli/soak_command.py
+++ b/crowseam/cli/soak_command.py
@@ -65,7 +65,8 @@
         return
     statuses = ", ".join(f"{status}: {count}" for status, count in sorted(result.statuses.items()))
     fault_counts = ", ".join(f"{count} {fault}" for fault, count in sorted(result.acts.items()))
-    sys.stdout.write(f"seed {result.seed}: {result.runs} runs, {result.repeats} repeats; {statuses}; {fault_counts}\n")
+    runs = f"{result.runs} runs, {result.early_runs} of them early, {result.repeats} repeats"
+    sys.stdout.write(f"seed {result.seed}: {runs}; {statuses}; {fault_counts}\n")
     for violation in result.violations[:MAX_VIOLATIONS_SHOWN]:
         sys.stdout.write(f"seed {result.seed}: VIOLATION {violation}\n")
     if result.violations:
--- a/crowseam/soak/clients.py
+++ b/crowseam/soak/clients.py
@@ -9,6 +9,7 @@
 from crowseam.soak import http
 from crowseam.soak.fleet import Fleet, Process
 from crowseam.soak.history import DISCONNECTED, TIMED_OUT, Call, History, Kind
+from crowseam.soak.requests import REQUEST_KEY_FIELD, request_body
 
 HOST = "soak.example"
 PATHS = {Kind.SAFE: "/menu/1", Kind.UNSAFE: "/pay/1", Kind.KEYED: "/orders/1"}
@@ -17,6 +18,10 @@
 MAX_ATTEMPTS = 4
 NOT_RUN_STATUSES = (429, 503, 408, 421)  # these guarantee that no server ran the request
 MEAN_PAUSE_S = 0.08  # between two requests of a client
+LARGE_BODY_PROBABILITY = 0.1  # of requests that have a body
+LARGE_BODY_BYTES = 200 * 1024  # too large for a gateway to buffer
+LARGE_BODY_PIECES = 10
+PIECE_PAUSE_S = 0.01
 CONNECT_TIMEOUT_S = 0.5
 
 
@@ -42,16 +47,23 @@
             kind = self.rng.choice(REQUEST_MIX)
             self._request_count += 1
             key = f"k-{self.number}-{self._request_count}"
-            await self._send_request(kind, key)
+            body = self._choose_body(kind, key)
+            await self._send_request(kind, key, body)
             if kind is Kind.KEYED and self.rng.random() < 0.15:
                 self._close()  # repeats the operation, most likely through another gateway
-                await self._send_request(kind, key, max_attempts=1)
+                await self._send_request(kind, key, body, max_attempts=1)
             await asyncio.sleep(self.rng.expovariate(1.0 / MEAN_PAUSE_S))
         self._close()
 
-    async def _send_request(self, kind: Kind, key: str, max_attempts: int = MAX_ATTEMPTS) -> None:
+    def _choose_body(self, kind: Kind, key: str) -> bytes:
+        if kind is Kind.SAFE:
+            return b""
+        is_large = self.rng.random() < LARGE_BODY_PROBABILITY
+        return request_body(key, LARGE_BODY_BYTES if is_large else 1)
+
+    async def _send_request(self, kind: Kind, key: str, body: bytes, max_attempts: int = MAX_ATTEMPTS) -> None:
         for number in range(max_attempts):
-            call = await self._send_attempt(kind, key)
+            call = await self._send_attempt(kind, key, body)
             if call is None:
                 continue
             self.history.calls.append(call)
@@ -59,7 +71,7 @@
                 return
             await asyncio.sleep(self.rng.uniform(0.02, 0.1) * 2**number)
 
-    async def _send_attempt(self, kind: Kind, key: str) -> Call | None:
+    async def _send_attempt(self, kind: Kind, key: str, body: bytes) -> Call | None:
         """Send one attempt and return its outcome, or None if no gateway could be connected to."""
         if not await self._ensure_connected():
             return None
@@ -68,15 +80,14 @@
         assert self._writer is not None
         attempt = f"a-{self.number}-{self._request_count}-{self.rng.getrandbits(40):x}"
         fields = {"host": HOST, "x-attempt-id": attempt, "x-time-left": str(int(REQUEST_TIMEOUT_S * 1000))}
+        fields[REQUEST_KEY_FIELD] = key
         if kind is Kind.KEYED:
             fields["x-op-key"] = key
         method = "GET" if kind is Kind.SAFE else "POST"
-        body = b"" if kind is Kind.SAFE else key.encode()
         call = Call(attempt, kind, key, self._gateway.name, self._incarnation, time.monotonic(), 0.0, DISCONNECTED)
         try:
             async with asyncio.timeout(REQUEST_TIMEOUT_S + 1.0):
-                self._writer.write(http.render(f"{method} {PATHS[kind]} HTTP/1.1", fields, body))
-                answer = await http.read(self._reader)
+                answer = await self._exchange(f"{method} {PATHS[kind]} HTTP/1.1", fields, body)
             call.status = answer.status
             call.answer_attempt = answer.fields.get("x-attempt-id", "")
             call.seal = answer.fields.get("x-server-seal", "")
@@ -91,6 +102,37 @@
         call.ended_at = time.monotonic()
         return call
 
+    async def _exchange(self, first: str, fields: dict[str, str], body: bytes) -> http.Message:
+        """Send a request and read its response, which may come before the whole body was sent."""
+        assert self._reader is not None
+        assert self._writer is not None
+        if len(body) < LARGE_BODY_BYTES:
+            self._writer.write(http.render(first, fields, body))
+            return await http.read(self._reader)
+        sending = asyncio.create_task(self._send_in_pieces(self._writer, first, fields, body))
+        try:
+            return await http.read(self._reader)
+        finally:
+            if not sending.done():
+                sending.cancel()
+                self._close()  # the rest of the body will not be sent
+            await asyncio.gather(sending, return_exceptions=True)
+
+    async def _send_in_pieces(
+        self, writer: asyncio.StreamWriter, first: str, fields: dict[str, str], body: bytes
+    ) -> None:
+        is_chunked = self.rng.random() < 0.5
+        framing = {"transfer-encoding": "chunked"} if is_chunked else {"content-length": str(len(body))}
+        writer.write(http.render_head(first, fields | framing))
+        size = -(-len(body) // LARGE_BODY_PIECES)
+        for start in range(0, len(body), size):
+            piece = body[start : start + size]
+            writer.write(http.render_chunk(piece) if is_chunked else piece)
+            await writer.drain()
+            await asyncio.sleep(PIECE_PAUSE_S)
+        if is_chunked:
+            writer.write(http.render_chunk(b""))
+
     async def _ensure_connected(self) -> bool:
         """Reuse the open connection, or connect to a gateway, preferring those that are ready."""
         if self._writer is not None and not self._writer.is_closing() and not self._is_disconnected():
--- a/crowseam/soak/history.py
+++ b/crowseam/soak/history.py
@@ -35,7 +35,7 @@
 
 
 class Run(msgspec.Struct):
-    """One run of an attempt at a server. `broke_off`: the server closed the connection without a response."""
+    """One run of an attempt at a server. `broke_off`: the server closed the connection without a complete response."""
 
     attempt: str
     key: str
@@ -43,6 +43,8 @@
     body: str
     began_at: float
     broke_off: bool
+    is_body_intact: bool = True  # of the request, as far as it was read
+    is_early: bool = False  # began before the whole body was read
 
 
 class ProcessAction(Enum):
--- a/crowseam/soak/judge.py
+++ b/crowseam/soak/judge.py
@@ -19,6 +19,9 @@
     for run in history.runs:
         runs[run.attempt].append(run)
     messages = _duplicate_runs(history)
+    messages += [
+        f"UNASKED: {run.attempt} was run with other bytes in its body" for run in history.runs if not run.is_body_intact
+    ]
     for call in history.calls:
         messages += _check_call(call, runs[call.attempt])
     messages += _mismatched_answers(history)
--- a/crowseam/soak/soak.py
+++ b/crowseam/soak/soak.py
@@ -42,6 +42,7 @@
     violations: list[str]
     statuses: dict[int, int]
     runs: int
+    early_runs: int  # which began before the whole request was read
     acts: dict[str, int]
     repeats: int  # calls for operations that had already succeeded
     folder: str = ""  # with its logs and history, if they were kept
@@ -107,6 +108,7 @@
         found_violations,
         dict(Counter(call.status for call in history.calls)),
         len(history.runs),
+        sum(run.is_early for run in history.runs),
         dict(Counter(event.act.value for event in history.events)),
         repeats,
     )
--- a/tests/crowseam/test_soak.py
+++ b/tests/crowseam/test_soak.py
@@ -21,6 +21,7 @@
                 self.assertEqual(result.violations, [])
                 self.assertGreater(result.statuses[200], 500)
                 self.assertGreater(result.repeats, 20)
+                self.assertGreater(result.early_runs, 10)
                 self.assertEqual(len(result.acts.keys() & {"kill", "terminate", "start", "end"}), 4)
 
 
@@ -61,6 +62,13 @@
         self.add_call(status=503)
         self.assert_violations("REFUSED")
 
+    def test_a_server_gets_the_body_that_was_sent(self):
+        self.add_run()
+        self.add_call()
+        self.assert_violations()
+        self.history.runs[0].is_body_intact = False
+        self.assert_violations("UNASKED")
+
     def test_a_response_belongs_to_its_request_and_to_one_of_its_runs(self):
         self.add_run()
         self.add_call(kind=Kind.SAFE, answer_attempt="b")
