--- a/tests/crowseam/test_dialect.py
+++ b/tests/crowseam/test_dialect.py
@@ -429,6 +429,15 @@
             self.assertEqual(connection.transport.written, b"GET / HTTP/1.1\r\n\r\n" + sent)
             self.assertEqual((self.outcome(), self.pool.budget.used), ((Status.OK, BODY), 0))
 
+    def test_a_request_whose_body_is_not_read_any_more_may_have_run(self):
+        for dialect, status in ((ServerDialect(), Status.ERROR), (Dialect(), Status.CONNECT_FAILED)):
+            self.pool.dialect = dialect
+            connection = self.exchange(upload=flow.Upload(self.pool.budget, 5, lambda on: None, [b"abc"]))
+            connection.pause_writing()
+            self.now += flow.STREAM_STALL_TIMEOUT_S + 0.1
+            self.pool.sweep()
+            self.assertEqual((self.outcome(), self.pool.budget.used), ((status, None), 0))
+
     def test_a_connection_lost_within_the_request_body_may_have_run_it(self):
         for dialect, status in ((ServerDialect(), Status.RESET), (Dialect(), Status.CONNECT_FAILED)):
             self.pool.dialect = dialect
