Model check of callers: a module for each scripted peer

Cause: scripted.py had 730 lines with the world, servers, clients, a controller, callers and a gateway.

Change: five modules, named after what they have in them; nothing else is changed.

--- a/crowseam/model_checks/callers/check.py
+++ b/crowseam/model_checks/callers/check.py
@@ -1,10 +1,10 @@
 """Model check of request and response matching: scripted peers of the real gateway and the real controllers.
 
 `run` runs seeded schedules on virtual time and links; every fourth is a sweep, every fourth is of controllers, and in
-every sixteenth servers answer before they have read the whole request (`callers.early_answers`).
-Servers, clients, callers and the gateway's controller are scripts (`callers.scripted`): they answer late, twice,
-partially, with the id of another request or without one, or with garbage; they fall silent, close or reset the
-connection at any byte, or close it as the next request arrives. Checked is that
+every sixteenth servers answer before they have read the whole request (`callers.early_answers`). Servers, clients,
+callers and the controller of the gateway are scripts (`callers.scripted_*`): they answer late, twice, partially, with
+the id of another request or without one, or with garbage; they fall silent, close or reset the connection at any byte,
+or close it as the next request arrives. Checked is that
 
 - a client gets the complete answer to its own request or none: no success belongs to another request, is truncated
   or duplicated, and no unsolicited bytes arrive;
@@ -32,13 +32,8 @@
 from crowseam.model_checks.callers.early_answers import EarlySchedule
 from crowseam.model_checks.callers.gateway_schedules import SWEEP_INTERVAL, GatewaySchedule, Sweep
 from crowseam.model_checks.callers.mutants import mutants
-from crowseam.model_checks.callers.scripted import (
-    GARBAGE,
-    Call,
-    CallerConnection,
-    ScriptedGateway,
-    ScriptedWorld,
-)
+from crowseam.model_checks.callers.scripted_callers import Call, CallerConnection, ScriptedGateway
+from crowseam.model_checks.callers.scripted_world import GARBAGE, ScriptedWorld
 from crowseam.model_checks.schedules import Report, play
 from crowseam.simulator.memory_controller import MemoryController
 from crowseam.simulator.world.disk import DiskImage
--- a/crowseam/model_checks/callers/early_answers.py
+++ b/crowseam/model_checks/callers/early_answers.py
@@ -12,16 +12,15 @@
 import msgspec
 
 from crowseam.model_checks.callers.gateway_schedules import GatewaySchedule
-from crowseam.model_checks.callers.scripted import (
+from crowseam.model_checks.callers.scripted_client import ClientConnection, build_request
+from crowseam.model_checks.callers.scripted_controller import ScriptedController
+from crowseam.model_checks.callers.scripted_server import ServerConnection
+from crowseam.model_checks.callers.scripted_world import (
     GARBAGE,
     LARGE_BODY_BYTES,
     LONG_TIMEOUT_MS,
     UNSAFE_KINDS,
-    ClientConnection,
-    ScriptedController,
     ScriptedWorld,
-    ServerConnection,
-    build_request,
 )
 from crowseam.operations.messages import (
     ClaimDecision,
--- a/crowseam/model_checks/callers/gateway_schedules.py
+++ b/crowseam/model_checks/callers/gateway_schedules.py
@@ -8,7 +8,10 @@
 
 from crowseam import settings as settings_file
 from crowseam.gateway import daemon
-from crowseam.model_checks.callers.scripted import (
+from crowseam.model_checks.callers.scripted_client import ClientConnection, build_request
+from crowseam.model_checks.callers.scripted_controller import ScriptedController
+from crowseam.model_checks.callers.scripted_server import Plan, ServerConnection, random_plan
+from crowseam.model_checks.callers.scripted_world import (
     CLIENT_TIME_LEFT_S,
     CONTROLLER,
     FAULTS,
@@ -16,13 +19,7 @@
     GATEWAY,
     LARGE_BODY_BYTES,
     SERVERS,
-    ClientConnection,
-    Plan,
-    ScriptedController,
     ScriptedWorld,
-    ServerConnection,
-    build_request,
-    random_plan,
 )
 from crowseam.model_checks.schedules import Violation
 from crowseam.simulator.world.patches import simulated_environment
--- a/tests/crowseam/test_check_callers.py
+++ b/tests/crowseam/test_check_callers.py
@@ -8,7 +8,9 @@
 from crowseam.gateway.http_dialect import ServerDialect
 from crowseam.model_checks.callers import check
 from crowseam.model_checks.callers.gateway_schedules import STRIDE, SWEEP_INTERVAL, GatewaySchedule, Sweep
-from crowseam.model_checks.callers.scripted import FAULTS, Plan, build_request
+from crowseam.model_checks.callers.scripted_client import build_request
+from crowseam.model_checks.callers.scripted_server import Plan
+from crowseam.model_checks.callers.scripted_world import FAULTS
 from fennelpoint.net.backends import UpstreamConnection
 
 
--- a/tests/crowseam/test_early_answers.py
+++ b/tests/crowseam/test_early_answers.py
@@ -3,7 +3,8 @@
 import unittest
 
 from crowseam.model_checks.callers.early_answers import EarlyAnswer, EarlySchedule, Ending, Upload
-from crowseam.model_checks.callers.scripted import LARGE_BODY_BYTES, NOT_RUN_STATUSES, build_request
+from crowseam.model_checks.callers.scripted_client import build_request
+from crowseam.model_checks.callers.scripted_world import LARGE_BODY_BYTES, NOT_RUN_STATUSES
 
 HEAD_BYTES = 90  # within the head of an answer
 KINDS = ("safe", "once", "long", "idem")
