--- a/crowseam/soak/fleet.py
+++ b/crowseam/soak/fleet.py
@@ -91,10 +91,12 @@
                 if is_expected and exit_code in (0, -signal.SIGKILL)
                 else ProcessAction.UNEXPECTED_EXIT,
                 f"exit code {exit_code}",
+                exit_code,
             )
 
-    def _record_event(self, act: ProcessAction, detail: str = "") -> None:
-        self.history.events.append(ProcessEvent(self.name, self.incarnation, act, time.monotonic(), detail))
+    def _record_event(self, act: ProcessAction, detail: str = "", exit_code: int | None = None) -> None:
+        event = ProcessEvent(self.name, self.incarnation, act, time.monotonic(), detail, exit_code)
+        self.history.events.append(event)
 
     def _signal(self, number: signal.Signals, act: ProcessAction) -> None:
         if self._child is not None and self.is_up:
--- a/crowseam/soak/history.py
+++ b/crowseam/soak/history.py
@@ -68,6 +68,7 @@
     act: ProcessAction
     at: float
     detail: str = ""
+    exit_code: int | None = None  # of an exit; negative: the signal that ended the process
 
 
 class Change(msgspec.Struct):
